--- /dev/null
+++ b/ivystack/__init__.py
@@ -0,0 +1,1 @@
+"""Spreads keys over cache nodes before a slow origin."""
--- /dev/null
+++ b/ivystack/choice.py
@@ -0,0 +1,577 @@
+"""All decisions of ivystack: where a req goes, when, how often, and whether at all.
+
+Three calls, on one Choice an instance:
+    where(req, now)                 -> (GO, node, until), (WAIT, None, 0), (NACK, None, come_back_in)
+                                       or (FAIL, None, 0)
+    after(write_out, outcome, now)  -> the same for its req (or DONE), and a list of write-outs to call off
+    wait(now)                       -> microseconds until the next thing is due (None: nothing is), and the
+                                       reqs due now, in order, for each of which `where` is to be asked
+`listed(nodes, whole, now)` tells list news and answers nothing.  The types are in model.py; docs/design.md
+says what comes from the paper, what was changed, and when each exception acts.  Times are whole microseconds.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import OrderedDict, deque
+from hashlib import blake2b
+from random import Random
+
+from .model import (  # fmt: skip
+    CLIENT_GONE, DEDUPLICATED, DONE, ERRORED, FAIL, FULL, GO, LEFT, MISSED, NACK, NON_RETRYABLE, OVERDUE,
+    READY, REFUSED, RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, WAIT, Method, Node, Req, Tenant, WriteOut,
+)
+
+NEVER_RAN = {FULL, REFUSED, SUPERSEDED, MISSED}  # the wire page: these endings prove it
+
+
+# --- Placement: the paper's, sections IV and V ---
+
+
+def digits(rid: int, count: int) -> list[int]:
+    """The factorial digits x_0 .. x_(count-1) of rid, x_l in 0..l; past its end they are zeros, which count.
+
+    >>> digits(1000, 8)
+    [0, 0, 2, 2, 1, 2, 1, 0]
+    """
+    found = []
+    for radix in range(1, count + 1):
+        rid, digit = divmod(rid, radix)
+        found.append(digit)
+    return found
+
+
+def draws(key: int, count: int) -> list[tuple[int, int]]:
+    """For each slot l a whole number below a bound: the key's hash, taken apart by remainders.
+
+    32 digits use up under 400 of a block's 512 bits while slots stay below 4096, so each digit is even to
+    within 2^-100; Python's own hash is salted a process and would part the proxies.
+    """
+    found: list[int] = []
+    for block in range(0, count, 32):
+        rid = int.from_bytes(blake2b(b"%d/%d" % (key, block)).digest(), "little")
+        for radix in range(block + 1, min(block + 32, count) + 1):
+            rid, digit = divmod(rid, radix)
+            found.append(digit)
+    return found
+
+
+def spots(found: list[int], k: int) -> list[int]:
+    """The slots of replicas 0 .. k-1, then one spare, for digits x_0 .. x_(N-1) of N slots.
+
+    Replica r is at the highest slot l >= k whose digit is r, else at slot r: so walk down from the last
+    slot and stop when all are found.  The spare follows the next digit value, k, over the slots that no
+    replica has.
+
+    >>> spots([0, 0, 2, 3, 2, 1], 3)[:3]
+    [0, 5, 4]
+    """
+    k = min(k, len(found))
+    place: list[int | None] = [None] * k
+    spare, left = None, k
+    for slot in range(len(found) - 1, k - 1, -1):
+        digit = found[slot]
+        if digit < k:
+            if place[digit] is None:
+                place[digit] = slot
+                left -= 1
+        elif digit == k and spare is None:
+            spare = slot
+        if not left and spare is not None:
+            break
+    taken = [r if slot is None else slot for r, slot in enumerate(place)]
+    if spare is None:
+        spare = next((slot for slot in range(k, -1, -1) if slot < len(found) and slot not in taken), None)
+    return taken if spare is None else [*taken, spare]
+
+
+class Placement:
+    """Which caches a key lives on: slots in order of first start, a walk down the key's digits."""
+
+    # How many keys' places are kept: a few MB at most.  A list change that moves a slot drops them all.
+    KEPT = 20_000
+    # A cache that left unasked (it crashed) keeps its slot this long: longer than the outages of the brief's
+    # troubles, so that one coming back finds its keys; a machine that never returns costs its share of
+    # spares.
+    AWAITED = 40_000_000
+
+    def __init__(self, k: int, sized: bool):
+        self.k, self.sized = k, sized
+        self.slots: list[Node] = []
+        self.known: OrderedDict[int, list[Node]] = OrderedDict()
+
+    def settle(self, nodes: list[Node], now: int) -> None:
+        """Brings the slots in line with the list: freed slots go to the last slot's cache, new caches go
+        last."""
+        before = list(self.slots)
+        ready = {node for node in nodes if node.state == READY}
+        for slot in range(len(self.slots) - 1, -1, -1):
+            node = self.slots[slot]
+            crashed = node.state == LEFT and not node.drained and now - node.left_at < self.AWAITED
+            if node not in ready and not crashed:
+                last = self.slots.pop()
+                if slot < len(self.slots):
+                    self.slots[slot] = last
+        held = set(self.slots)
+        self.slots += sorted(
+            (node for node in ready if node not in held), key=lambda node: (node.started, node.name)
+        )
+        if self.slots != before:
+            self.known.clear()
+
+    def homes(self, key: int) -> list[Node]:
+        """The key's replicas in order, and last its spare."""
+        nodes = self.known.get(key)
+        if nodes is None:
+            found = draws(key, len(self.slots))
+            if self.sized:
+                found = self.sized_digits(found)
+            nodes = [self.slots[slot] for slot in spots(found, self.k)]
+            self.known[key] = nodes
+            if len(self.known) > self.KEPT:
+                self.known.popitem(last=False)
+        return nodes
+
+    def sized_digits(self, found: list[int]) -> list[int]:
+        """Quasi-digits (section V): slot l takes [0, k p_l) of the draw, in k equal parts, one a replica.
+
+        The printed [0, p_l) would move k times too little.  Where k p_l > 1 a slot is due more than every
+        key once and takes every key.  The next p_l of the draw names the spare.
+        """
+        quasi, total = [], 0.0
+        for slot, digit in enumerate(found):
+            weight = self.slots[slot].weight
+            total += weight
+            share = weight / total if total else 1 / (slot + 1)
+            quasi.append(int((digit + 0.5) / (slot + 1) / min(share, 1 / self.k)))
+        return quasi
+
+
+# --- Health: failures in a row, own evidence only ---
+
+
+class Health:
+    """Tells nodes that can be sent work from those that get a trial now and then."""
+
+    FAILED = 3  # in a row: two can be chance at a busy node, and each further one costs a req its time
+    PAUSE = 500_000  # before a down node's first trial; doubled a trial, up to eight times that
+
+    def up(self, node: Node) -> bool:
+        return node.failures < self.FAILED
+
+    def doubtful(self, slots: list[Node]) -> bool:
+        """Most of the fleet looks down: then the cause is behind it (the origin, the network, we
+        ourselves)."""
+        return 2 * sum(node.failures >= self.FAILED for node in slots if node.state == READY) > len(slots)
+
+    def failed(self, node: Node, broken: bool, now: int) -> None:
+        node.failures += 1
+        node.broken = node.broken or broken
+        if node.failures >= self.FAILED and now >= node.trial_at:
+            node.trial_at = now + (self.PAUSE << min(node.trials, 3))
+            node.trials += 1
+
+    def answered(self, node: Node, now: int) -> None:
+        if node.broken and node.failures >= self.FAILED:
+            node.started = now  # its process was gone, so it is back cold, though the list may not say so yet
+            node.credit = 0.0
+        node.failures, node.trials, node.trial_at, node.broken = 0, 0, 0, False
+
+
+# --- Cold nodes: a budget in proportion to what the warm ones are sent ---
+
+
+class Cold:
+    MOST = 2.0  # credit kept at most: two reqs are no burst
+
+    def __init__(self, cold_share: float, cold: int):
+        self.share, self.cold = cold_share, cold
+
+    def warmth(self, node: Node, now: int) -> float:
+        """The part of its capacity that it can be counted on for; 1 once it is warm."""
+        if not node.started or not self.cold:
+            return 1.0
+        return min(1.0, self.share + (1 - self.share) * max(0, now - node.started) / self.cold)
+
+    def spent(self, node: Node, slots: list[Node], now: int) -> None:
+        """A write-out went to node: a cold one pays for it, a warm one earns the cold ones their part of
+        it."""
+        cold = [(other, warmth) for other in slots if (warmth := self.warmth(other, now)) < 1]
+        if not cold:
+            return
+        if self.warmth(node, now) < 1:
+            node.credit -= 1
+            return
+        warm = sum(other.weight for other in slots if other.state == READY) - sum(
+            other.weight for other, _ in cold
+        )
+        for other, warmth in cold:
+            other.credit = min(self.MOST, other.credit + warmth * other.weight / max(warm, other.weight))
+
+    def allows(self, node: Node, slots: list[Node], now: int) -> bool:
+        if self.warmth(node, now) >= 1 or node.credit >= 1:
+            return True
+        # With no warm node to measure by, one at a time: what is sent then never outruns what is answered.
+        return node.in_flight == 0 and all(
+            self.warmth(other, now) < 1 for other in slots if other.state == READY
+        )
+
+
+# --- Sharing under pressure ---
+
+
+class Gate:
+    """Nacks early, least worth first, while too much of what is sent ends late."""
+
+    STEP = 250_000  # how often the level moves: a few answers' time
+    LATE = 0.08  # lateness that counts as pressure: above what a node or two in trouble bring
+    MOST = 0.9  # never nacks all: what gets through shows when it is over
+
+    def __init__(self, rng: Random, tenants: list[Tenant], excess: float, parts: int):
+        self.rng, self.tenants, self.excess, self.parts = rng, tenants, excess, parts
+        self.level, self.moved = 0.0, 0
+        self.ends: deque[bool] = deque(maxlen=100)  # was it late
+        self.worths: deque[float] = deque(maxlen=200)
+
+    def rate(self, tenant: Tenant, now: int) -> float:
+        """Its reqs a second here, from its last arrivals."""
+        if len(tenant.arrivals) < 8 or now <= tenant.arrivals[0]:
+            return 0.0
+        return len(tenant.arrivals) * 1_000_000 / (now - tenant.arrivals[0])
+
+    def within(self, tenant: Tenant, now: int) -> float:
+        """The part of a tenant's traffic that its share covers.  We see only a part of all traffic, of
+        unknown size: the middle tenant's rate over its allowance tells how large a part."""
+        rate = self.rate(tenant, now)
+        ratios = sorted(self.rate(t, now) / t.allowance for t in self.tenants if t.allowance)
+        if not rate or not ratios:
+            return 1.0
+        part = max(ratios[len(ratios) // 2], 1 / self.parts)
+        return min(1.0, part * tenant.allowance / rate)
+
+    def admit(self, req: Req, now: int) -> bool:
+        worth = req.method.criticality
+        if req.tenant:
+            req.tenant.arrivals.append(now)
+            if self.level and self.rng.random() > self.within(req.tenant, now):
+                worth *= self.excess
+        worth *= 1 + 0.01 * self.rng.random()  # equals are parted by chance
+        self.worths.append(worth)
+        if not self.level:
+            return True
+        bar = sorted(self.worths)[int(self.level * (len(self.worths) - 1))]
+        return worth >= bar
+
+    def ended(self, late: bool, now: int) -> None:
+        self.ends.append(late)
+        if now - self.moved >= self.STEP and len(self.ends) >= 20:
+            self.moved = now
+            share = sum(self.ends) / len(self.ends)
+            if share > self.LATE:
+                self.level = min(self.MOST, self.level + 0.05)
+            else:
+                self.level = max(0.0, self.level - 0.02)
+
+
+# --- The choice ---
+
+
+class Choice:
+    FLOOR = 2  # the skip rule's least bound, the design page's
+    FURTHER = 0.15  # further write-outs and second copies earned by each satisfied req
+    FURTHER_MOST = 20.0  # and kept at most: enough for what a dying node held
+    MARGIN = 2  # ticks that an answer needs to get back to the client in time
+
+    def __init__(
+        self,
+        rng: Random,
+        placement: Placement,
+        health: Health,
+        cold: Cold,
+        gate: Gate,
+        *,
+        origin: int,
+        most_write_outs: int,
+        may_duplicate: bool,
+        come_back: int,
+        tick: int,
+        ask_within: int,
+        skip: float,
+    ):
+        self.rng, self.placement, self.health, self.cold, self.gate = rng, placement, health, cold, gate
+        self.origin_kind, self.most, self.may_duplicate = origin, most_write_outs, may_duplicate
+        self.come_back, self.tick, self.skip = come_back, tick, skip
+        self.nodes: dict[str, Node] = {}
+        self.origins: list[Node] = []
+        self.in_flight = 0
+        self.spare = self.FURTHER_MOST
+        self.due: list[tuple[int, int, Req]] = []
+        self.count = 0
+        self.first: deque[Req] = deque()
+        self.further: deque[Req] = deque()
+        self.asking = Req(None, 0, 0, list_call=True) if ask_within else None
+        self.ask_pause = min(500_000, ask_within // 8)
+        self.ask_failures = 0
+        if self.asking:
+            self.later(self.asking, 0)
+
+    # The list.
+
+    def listed(self, nodes: list[Node], whole: bool, now: int) -> None:
+        """List news: nodes as now listed.  One known before is taken over under the object that is known."""
+        for new in nodes:
+            node = self.nodes.setdefault(new.name, new)
+            if node is not new:
+                if new.started != node.started and new.state == READY and new.started > node.started:
+                    node.started, node.credit, node.failures, node.trials = new.started, 0.0, 0, 0
+                node.zone, node.cell, node.state = new.zone, new.cell, new.state
+            if node.state == LEFT:
+                node.left_at = now
+            else:
+                node.drained = node.state != READY
+        if whole:
+            names = {node.name for node in nodes}
+            for node in self.nodes.values():
+                if node.name not in names and node.state != LEFT:
+                    node.state, node.left_at = LEFT, now
+        caches = [node for node in self.nodes.values() if node.kind != self.origin_kind]
+        self.origins = [
+            node for node in self.nodes.values() if node.kind == self.origin_kind and node.state == READY
+        ]
+        self.placement.settle(caches, now)
+
+    # The three calls.
+
+    def where(self, req: Req, now: int) -> tuple:
+        if req.list_call:
+            return GO, None, 0
+        if req.over:
+            return DONE, None, 0
+        end = self.end(req)
+        out = [w for w in req.write_outs if w.outcome is None]
+        if not req.write_outs and not req.admitted:
+            if not self.gate.admit(req, now):
+                return self.never(req)
+            req.admitted = True
+        if now >= end or len(req.write_outs) >= self.most:
+            return (WAIT, None, 0) if out else self.never(req)
+        again = bool(req.write_outs) and req.write_outs[-1].outcome not in NEVER_RAN
+        if (again and self.spare < 1) or (out and not self.may_duplicate):
+            return (WAIT, None, 0) if out else self.never(req)
+        node = self.pick(req, now)
+        if node is None:
+            if out:
+                return WAIT, None, 0
+            if not req.write_outs or self.may_nack(req):
+                return self.hold(req, now, end)
+            return self.never(req)
+        if again:
+            self.spare -= 1
+        until = self.until(req, node, now, end)
+        write_out = WriteOut(req, node, now, until)
+        write_out.trial = not self.health.up(node)
+        if write_out.trial:
+            self.health.failed(node, False, now)
+        req.write_outs.append(write_out)
+        node.in_flight += 1
+        self.in_flight += 1
+        self.cold.spent(node, self.placement.slots, now)
+        if until < end or (self.may_duplicate and self.repeatable(req)):
+            self.later(req, now + self.patience(req.method, end - now))
+        return GO, node, until
+
+    def after(self, write_out: WriteOut, outcome: str, now: int) -> tuple[tuple, list[WriteOut]]:
+        req = write_out.req
+        if req.list_call:
+            return self.asked(outcome, now), []
+        if outcome == CLIENT_GONE:
+            return (DONE, None, 0), [w for w in req.write_outs if w.outcome is None]
+        node, method = write_out.node, req.method
+        write_out.outcome = outcome
+        node.in_flight -= 1
+        self.in_flight -= 1
+        spent = now - write_out.sent
+        if outcome in (SATISFIED, MISSED):
+            self.health.answered(node, now)
+            node.times.append(spent)
+            method.times.append(spent)
+            if outcome == SATISFIED:
+                self.spare = min(self.FURTHER_MOST, self.spare + self.FURTHER)
+        elif outcome in (ERRORED, REFUSED, SEVERED, OVERDUE):
+            if not write_out.doubted:
+                self.health.failed(node, outcome in (REFUSED, SEVERED), now)
+            if outcome == OVERDUE:
+                method.times.append(spent)
+        if outcome in (SATISFIED, OVERDUE, FULL) and (self.health.up(node) or outcome == SATISFIED):
+            self.gate.ended(outcome != SATISFIED, now)
+        out = [w for w in req.write_outs if w.outcome is None]
+        if outcome == SATISFIED or req.over:
+            return (DONE, None, 0), out
+        if out:
+            return (WAIT, None, 0), []
+        if now >= self.end(req) or not self.may_send_again(req, now):
+            return self.never(req), []
+        self.further.append(req)
+        return (WAIT, None, 0), []
+
+    def wait(self, now: int) -> tuple[int | None, list[Req]]:
+        while self.due and self.due[0][0] <= now:
+            req = heapq.heappop(self.due)[2]
+            if req.over:
+                continue
+            if req.write_outs or req.list_call:
+                self.doubt(req)
+                self.further.append(req)
+            else:
+                self.first.append(req)
+        ready = [*self.first, *self.further]
+        self.first.clear()
+        self.further.clear()
+        return (self.due[0][0] - now if self.due else None), ready
+
+    # Time.
+
+    def end(self, req: Req) -> int:
+        """When an answer is worth nothing any more, or nobody waits for it."""
+        end = req.give_up_at
+        if not req.method.tardy:
+            end = min(end, req.arrived + req.method.latency_budget)
+        return end - self.MARGIN * self.tick
+
+    def patience(self, method: Method, left: int) -> int:
+        """How long a write-out may take before another is worth trying: twice what nine in ten of the last
+        took, but never all of what is left."""
+        times = sorted(method.times)
+        usual = 2 * times[len(times) * 9 // 10] if len(times) >= 8 else left // 2
+        return max(min(usual, left), left // 4)
+
+    def until(self, req: Req, node: Node, now: int, end: int) -> int:
+        if self.may_duplicate or not self.repeatable(req) or len(req.write_outs) + 1 >= self.most:
+            return end
+        return now + self.patience(req.method, end - now)
+
+    def later(self, req: Req, at: int) -> None:
+        self.count += 1
+        heapq.heappush(self.due, (at, self.count, req))
+
+    def hold(self, req: Req, now: int, end: int) -> tuple:
+        """Nowhere to send it now: look again soon, as long as an answer could still be in time."""
+        soon = now + 20_000  # a few answers' time at a cold node
+        if soon >= end:
+            return self.never(req)
+        self.later(req, soon)
+        return WAIT, None, 0
+
+    # What may be done with a req that may have run.
+
+    def may_have_run(self, req: Req) -> list[WriteOut]:
+        return [w for w in req.write_outs if w.outcome not in NEVER_RAN]
+
+    def repeatable(self, req: Req) -> bool:
+        return req.method.semantics != NON_RETRYABLE
+
+    def may_nack(self, req: Req) -> bool:
+        ran = self.may_have_run(req)
+        return (
+            not ran
+            or req.method.semantics == RETRYABLE
+            or req.method.semantics == DEDUPLICATED
+            and req.method.group == "all"
+        )
+
+    def may_send_again(self, req: Req, now: int) -> bool:
+        if len(req.write_outs) >= self.most:
+            return False
+        ran = self.may_have_run(req)
+        if not ran or req.method.semantics == RETRYABLE:
+            return True
+        # Ends a tick early: the window is the nodes' to keep, and the repeat must reach one within it.
+        return (
+            req.method.semantics == DEDUPLICATED
+            and now < ran[0].sent + req.method.window - self.MARGIN * self.tick
+        )
+
+    def within_group(self, req: Req, node: Node) -> bool:
+        if req.method.semantics != DEDUPLICATED or req.method.group == "all":
+            return True
+        return all(
+            node.zone == w.node.zone and (req.method.group == "zone" or node.cell == w.node.cell)
+            for w in self.may_have_run(req)
+        )
+
+    def never(self, req: Req) -> tuple:
+        """Given up: the answer goes out at once, a nack where that is true."""
+        return (NACK, None, self.come_back) if self.may_nack(req) else (FAIL, None, 0)
+
+    # Picking.
+
+    def pick(self, req: Req, now: int) -> Node | None:
+        if not self.may_send_again(req, now):
+            return None
+        if self.origin_kind >= 0 and (req.write or req.write_outs and req.write_outs[-1].outcome == MISSED):
+            return min(self.origins, key=lambda node: node.in_flight, default=None)
+        slots = self.placement.slots
+        if not slots:
+            return None
+        homes = self.placement.homes(req.key if req.key is not None else self.rng.getrandbits(50))
+        replicas = homes[: self.placement.k]
+        tried = [w.node for w in req.write_outs if w.outcome not in (FULL, SUPERSEDED)]
+        doubtful = self.health.doubtful(slots)
+        lone = not self.may_have_run(req)
+
+        def able(node: Node) -> bool:
+            return (
+                node.state == READY
+                and node not in tried
+                and self.within_group(req, node)
+                and (doubtful or self.health.up(node))
+                and self.cold.allows(node, slots, now)
+            )
+
+        start = self.rng.randrange(len(replicas))
+        turn = replicas[start:] + replicas[:start]
+        # Trial: a down node whose pause is over gets one retryable req of its own keys.
+        for node in turn:
+            if (
+                not self.health.up(node)
+                and node.state == READY
+                and now >= node.trial_at
+                and lone
+                and req.method.semantics == RETRYABLE
+                and not req.write_outs
+                and self.cold.allows(node, slots, now)
+            ):
+                return node
+        fit = [node for node in turn if able(node)]
+        if not fit:
+            # Both replicas are out of reach: the spare, then whichever replica is still listed.
+            fit = [node for node in homes if able(node)] or [
+                node
+                for node in homes
+                if node.state == READY and self.within_group(req, node) and self.cold.allows(node, slots, now)
+            ]
+        bound = max(self.FLOOR, self.skip * self.in_flight / len(slots))
+        for node in fit:
+            if node.in_flight <= bound:
+                return node
+        return min(fit, key=lambda node: node.in_flight, default=None)
+
+    def doubt(self, req: Req) -> None:
+        """A write-out that outlasts patience counts against its node at once: a silent node answers
+        nothing, and waiting for each time-out would feed it for a latency budget more."""
+        for write_out in req.write_outs:
+            if write_out.outcome is None and not write_out.doubted:
+                write_out.doubted = True
+                self.health.failed(write_out.node, False, write_out.sent)
+
+    # Standing reqs.
+
+    def asked(self, outcome: str, now: int) -> tuple:
+        """A list call ended: after a failure it is made again, later each time and spread by chance."""
+        if outcome == SATISFIED:
+            self.ask_failures = 0
+        else:
+            self.ask_failures += 1
+            pause = self.ask_pause << min(self.ask_failures, 3)
+            self.later(self.asking, now + pause + self.rng.randrange(pause + 1))
+        return WAIT, None, 0
--- /dev/null
+++ b/ivystack/model.py
@@ -0,0 +1,100 @@
+"""Plain types shared by the decisions and whoever asks for them; nothing is decided here.
+
+Times are whole microseconds of the caller's clock.  Objects point to each other; ids stay at the door.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+# What `where` and `after` answer with: (GO, node, until), (WAIT, None, 0), (NACK, None, come_back_in),
+# (FAIL, None, 0), or (DONE, None, 0) when nothing more is owed.
+GO, WAIT, NACK, FAIL, DONE = "go", "wait", "nack", "fail", "done"
+
+# How a write-out can end.
+SATISFIED, ERRORED, FULL, OVERDUE, REFUSED, SEVERED, RECALLED, SUPERSEDED, MISSED = (
+    "satisfied",
+    "errored",
+    "full",
+    "overdue",
+    "refused",
+    "severed",
+    "recalled",
+    "superseded",
+    "missed",
+)
+CLIENT_GONE = "client gone"  # no ending of a write-out: its req needs no answer any more
+
+# What a method's reqs bear.
+RETRYABLE, DEDUPLICATED, NON_RETRYABLE = "retryable", "deduplicated", "non-retryable"
+
+READY, LEAVING, LEFT = "ready", "leaving", "left"
+
+
+@dataclass(eq=False, slots=True)
+class Node:
+    """A cache node (or the origin) as the list names it, and what this proxy has seen of it."""
+
+    name: str
+    kind: int = 0
+    weight: float = 1.0
+    zone: str = ""
+    cell: int = 0
+    state: str = READY
+    started: int = 0  # 0: long ago
+    drained: bool = False  # seen leaving since it last was ready
+    left_at: int = 0
+    in_flight: int = 0  # own write-outs there
+    failures: int = 0  # in a row
+    broken: bool = False  # one of them was a broken or refused connection
+    trial_at: int = 0  # when down: not before this
+    trials: int = 0  # since it went down
+    credit: float = 0.0  # what a cold node may still be sent
+    times: deque = field(default_factory=lambda: deque(maxlen=8))  # its last answers' times
+
+
+@dataclass(eq=False, slots=True)
+class Method:
+    name: str
+    semantics: str = RETRYABLE
+    latency_budget: int = 1_000_000
+    criticality: float = 1.0
+    group: str = "all"  # deduplicated: which nodes drop a repeat: all, zone or cell
+    window: int = 0  # and for how long
+    tardy: float = 0.0  # what an answer after the latency budget is worth
+    times: deque = field(default_factory=lambda: deque(maxlen=64))  # its last write-outs' times
+
+
+@dataclass(eq=False, slots=True)
+class Tenant:
+    name: str
+    allowance: float = 0.0  # reqs a second over all proxies
+    arrivals: deque = field(default_factory=lambda: deque(maxlen=64))
+
+
+@dataclass(eq=False, slots=True)
+class Req:
+    method: Method | None
+    arrived: int
+    give_up_at: int
+    key: int | None = None
+    tenant: Tenant | None = None
+    write: bool = False
+    repeat: bool = False
+    over: bool = False  # concluded, by whom ever
+    admitted: bool = False
+    write_outs: list = field(default_factory=list)
+    probe_of: Node | None = None  # standing req: probe this node
+    list_call: bool = False  # standing req: ask for the list
+
+
+@dataclass(eq=False, slots=True)
+class WriteOut:
+    req: Req
+    node: Node | None
+    sent: int
+    until: int
+    outcome: str | None = None  # None: still out
+    doubted: bool = False  # its lateness was already held against the node
+    trial: bool = False
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,210 @@
+from collections import Counter
+
+from helpers import S, choice, nodes, req
+
+from ivystack.choice import NEVER_RAN, Placement, digits, draws, spots
+from ivystack.model import (
+    DEDUPLICATED,
+    ERRORED,
+    FAIL,
+    FULL,
+    GO,
+    LEAVING,
+    LEFT,
+    MISSED,
+    NACK,
+    NON_RETRYABLE,
+    OVERDUE,
+    READY,
+    REFUSED,
+    SATISFIED,
+    WAIT,
+    Node,
+)
+
+PRINTED = [0, 2, 3, 2, 1, 3, 3, 3, 1, 3, 9, 12, 1]  # the paper's expansion of 12345678910, from x_1 on
+
+
+def test_expansion_of_the_paper():
+    assert digits(12345678910, 14) == [0, *PRINTED]
+
+
+def test_short_expansions_end_in_zeros_which_are_digits():
+    assert spots(digits(1, 6), 2)[:2] == [5, 1]
+
+
+def test_worked_example_of_the_paper():
+    # It reads the printed list from index 0, so bin l takes x_(l+1); the walk is the same.
+    found = {count: spots(PRINTED[:count], 3)[:3] for count in range(3, 12)}
+    assert found[3] == [0, 1, 2] and found[4] == [0, 1, 3]
+    assert all(found[count] == [0, 4, 3] for count in range(5, 9))
+    assert all(found[count] == [0, 8, 3] for count in range(9, 12))
+
+
+def test_even_shares_and_no_two_replicas_together():
+    for k, count in ((2, 7), (3, 25), (2, 40)):
+        shares = Counter()
+        for key in range(6000):
+            homes = spots(draws(key, count), k)
+            assert len(set(homes)) == k + 1
+            shares.update(homes[:k])
+        assert all(abs(shares[slot] * count / (6000 * k) - 1) < 0.2 for slot in range(count))
+
+
+def test_fewer_caches_than_replicas():
+    assert spots(draws(5, 1), 2) == [0]
+    assert spots([], 2) == []
+    assert choice().where(req(), 0)[0] == WAIT
+
+
+def test_weights_give_shares_in_proportion():
+    placement = Placement(2, True)
+    placement.settle([Node(f"n{i}", weight=1.0 if i < 6 else 2.0) for i in range(9)], 0)
+    shares = Counter(node.name for key in range(8000) for node in placement.homes(key)[:2])
+    assert 1.7 < shares["n8"] / shares["n4"] < 2.3
+
+
+def test_a_weight_due_more_than_every_key_takes_every_key_once():
+    placement = Placement(2, True)
+    placement.settle([Node("a"), Node("b"), Node("c", weight=50.0)], 0)
+    assert all("c" in [node.name for node in placement.homes(key)[:2]] for key in range(200))
+
+
+def test_drained_cache_gives_its_slot_to_the_last():
+    made = choice(nodes(5))
+    made.listed([Node("n01", state=LEAVING)], False, 0)
+    assert [node.name for node in made.placement.slots] == ["n00", "n04", "n02", "n03"]
+
+
+def test_crashed_cache_keeps_its_slot_and_its_return_starts_cold():
+    made = choice(nodes(4), cold_share=0.1, cold=10 * S)
+    made.listed([Node("n01", state=LEFT)], False, S)
+    made.listed([Node("n01", state=READY, started=5 * S)], False, 6 * S)
+    node = made.placement.slots[1]
+    assert node.name == "n01" and made.cold.warmth(node, 6 * S) < 0.2
+
+
+def test_slots_after_our_own_restart_follow_start_times():
+    made = choice([Node("a", started=9), Node("b", started=0), Node("c", started=5)])
+    assert [node.name for node in made.placement.slots] == ["b", "c", "a"]
+
+
+def test_a_pick_skips_a_loaded_replica():
+    made = choice(nodes(6))
+    homes = made.placement.homes(7)
+    homes[0].in_flight = made.in_flight = 9
+    assert all(made.pick(req(), 0) is homes[1] for _ in range(20))
+
+
+def test_cold_node_gets_only_what_its_credit_covers():
+    made = choice([*nodes(5), Node("cold", started=1)], cold_share=0.1, cold=100 * S)
+    sent = Counter(made.where(req(key=key), 2)[1].name for key in range(400))
+    assert 1 <= sent["cold"] <= 0.1 * sent.total() / 5 + 2
+
+
+def test_no_second_write_out_of_a_non_retryable_req_that_may_have_run():
+    made = choice(nodes(4))
+    asked = req(NON_RETRYABLE)
+    made.where(asked, 0)
+    assert made.after(asked.write_outs[0], ERRORED, 10)[0][0] == FAIL
+
+
+def test_non_retryable_goes_out_again_when_it_never_ran():
+    for outcome in NEVER_RAN - {MISSED}:
+        made = choice(nodes(4))
+        asked = req(NON_RETRYABLE)
+        made.where(asked, 0)
+        assert made.after(asked.write_outs[0], outcome, 10)[0][0] == WAIT
+        assert made.wait(10)[1] == [asked] and made.where(asked, 10)[0] == GO
+
+
+def test_deduplicated_only_within_its_window():
+    made = choice(nodes(4))
+    asked = req(DEDUPLICATED, window=S // 2)
+    made.where(asked, 0)
+    assert made.after(asked.write_outs[0], ERRORED, S * 6 // 10)[0][0] == NACK
+    outside = req(DEDUPLICATED, window=S // 2, group="zone")
+    made.where(outside, 0)
+    assert made.after(outside.write_outs[0], ERRORED, S * 6 // 10)[0][0] == FAIL
+
+
+def test_never_two_at_once_where_forbidden():
+    made = choice(nodes(4), may_duplicate=False)
+    asked = req()
+    made.where(asked, 0)
+    assert made.where(asked, 500)[0] == WAIT and len(asked.write_outs) == 1
+
+
+def test_late_is_given_up_at_once():
+    made = choice(nodes(4))
+    asked = req(budget=S // 2)
+    assert made.where(asked, 0)[2] == S // 2
+    assert made.after(asked.write_outs[0], OVERDUE, S // 2)[0][0] == NACK
+
+
+def test_failures_in_a_row_take_a_node_out_and_an_answer_brings_it_back():
+    made = choice(nodes(6))
+    node = made.placement.homes(7)[0]
+    for _ in range(3):
+        made.health.failed(node, False, 0)
+    assert all(made.pick(req(), 10) is not node for _ in range(20))
+    assert made.pick(req(), S) is node
+    made.health.answered(node, S)
+    assert made.health.up(node)
+
+
+def test_doubt_about_most_of_the_fleet_condemns_nobody():
+    made = choice(nodes(5))
+    for node in made.placement.slots[:4]:
+        node.failures, node.trial_at = 9, 99 * S
+    picked = {made.pick(req(key=key), 0) for key in range(200)}
+    assert len(picked) == 5
+
+
+def test_miss_goes_to_the_origin_and_origin_holds_no_slot():
+    made = choice([*nodes(3), Node("origin", kind=4)], origin=4, may_duplicate=False)
+    asked = req()
+    made.where(asked, 0)
+    made.after(asked.write_outs[0], MISSED, 10)
+    made.wait(10)
+    assert made.where(asked, 10)[1].name == "origin" and len(made.placement.slots) == 3
+
+
+def test_further_write_outs_keep_to_their_budget_and_come_after_first_ones():
+    made = choice(nodes(4))
+    made.spare = 0.5
+    asked = req()
+    made.where(asked, 0)
+    made.after(asked.write_outs[0], ERRORED, 10)
+    waiting = req(key=9)
+    made.first.append(waiting)
+    assert made.wait(10)[1] == [waiting, asked] and made.where(asked, 10)[0] == NACK
+
+
+def test_answer_calls_off_the_second_copy():
+    made = choice(nodes(4))
+    asked = req()
+    made.where(asked, 0)
+    made.where(asked, S // 4)
+    assert made.after(asked.write_outs[0], SATISFIED, S // 3) == (("done", None, 0), [asked.write_outs[1]])
+
+
+def test_list_call_again_after_a_failure():
+    made = choice(ask_within=8 * S)
+    _, [call] = made.wait(0)
+    assert made.where(call, 0) == (GO, None, 0)
+    from ivystack.model import WriteOut
+
+    made.after(WriteOut(call, None, 0, 0), ERRORED, 0)
+    assert made.wait(5 * S)[1] == [call]
+
+
+def test_full_node_is_no_failure():
+    made = choice(nodes(4))
+    asked = req()
+    node = made.where(asked, 0)[1]
+    made.after(asked.write_outs[0], FULL, 10)
+    assert node.failures == 0
+    made.wait(10)
+    made.after(asked.write_outs[0], REFUSED, 10)
+    assert node.failures == 1
