Windows a node: pressure is a req that finds no room, not lateness

Now a node's own window (shrunk by a write-out that ran out of time or was turned away) says what it bears.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -18,8 +18,30 @@
 from random import Random
 
 from .model import (  # fmt: skip
-    CLIENT_GONE, DEDUPLICATED, DONE, ERRORED, FAIL, FULL, GO, LEFT, MISSED, NACK, NON_RETRYABLE, OVERDUE,
-    READY, REFUSED, RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, WAIT, Method, Node, Req, Tenant, WriteOut,
+    CLIENT_GONE,
+    DEDUPLICATED,
+    DONE,
+    ERRORED,
+    FAIL,
+    FULL,
+    GO,
+    LEFT,
+    MISSED,
+    NACK,
+    NON_RETRYABLE,
+    OVERDUE,
+    READY,
+    REFUSED,
+    RETRYABLE,
+    SATISFIED,
+    SEVERED,
+    SUPERSEDED,
+    WAIT,
+    Method,
+    Node,
+    Req,
+    Tenant,
+    WriteOut,
 )
 
 NEVER_RAN = {FULL, REFUSED, SUPERSEDED, MISSED}  # the wire page: these endings prove it
@@ -220,17 +242,38 @@
 # --- Sharing under pressure ---
 
 
+class Room:
+    """How many of our write-outs a node bears at once: shown by which of them came back in time.
+
+    Guards against the jam: where late work is not stopped, a deep queue makes all behind it late, so sending on
+    keeps the queue full.  Own evidence only; with every proxy doing the same the node's queue drains.
+    """
+
+    LEAST, MOST = 1.0, 64.0  # one shows when it is better; the most only bounds how long a fall takes
+    FALL = 0.7  # of the window is left after a write-out that ran out of time: the usual cautious halving and a bit
+
+    def has(self, node: Node) -> bool:
+        return node.in_flight < max(self.LEAST, int(node.window))
+
+    def answered(self, node: Node, spent: int, budget: int) -> None:
+        if 2 * spent < budget and 2 * node.in_flight >= node.window - 1:  # only a window in use may grow
+            node.window = min(self.MOST, node.window + 1 / node.window)
+
+    def ran_out(self, node: Node) -> None:
+        node.window = max(self.LEAST, node.window * self.FALL)
+
+
 class Gate:
-    """Nacks early, least worth first, while too much of what is sent ends late."""
+    """Nacks early, least worth first, while reqs find no room."""
 
     STEP = 250_000  # how often the level moves: a few answers' time
-    LATE = 0.08  # lateness that counts as pressure: above what a node or two in trouble bring
-    MOST = 0.9  # never nacks all: what gets through shows when it is over
+    PRESSED = 0.03  # of the reqs without room: more than chance brings
+    MOST = 0.95  # never nacks all: what gets through shows when it is over
 
     def __init__(self, rng: Random, tenants: list[Tenant], excess: float, parts: int):
         self.rng, self.tenants, self.excess, self.parts = rng, tenants, excess, parts
         self.level, self.moved = 0.0, 0
-        self.ends: deque[bool] = deque(maxlen=100)  # was it late
+        self.asked: deque[bool] = deque(maxlen=100)  # did it find no room
         self.worths: deque[float] = deque(maxlen=200)
 
     def rate(self, tenant: Tenant, now: int) -> float:
@@ -240,8 +283,8 @@
         return len(tenant.arrivals) * 1_000_000 / (now - tenant.arrivals[0])
 
     def within(self, tenant: Tenant, now: int) -> float:
-        """The part of a tenant's traffic that its share covers.  We see only a part of all traffic, of
-        unknown size: the middle tenant's rate over its allowance tells how large a part."""
+        """The part of a tenant's traffic that its share covers.  We see only a part of all traffic, of unknown
+        size: the middle tenant's rate over its allowance tells how large a part."""
         rate = self.rate(tenant, now)
         ratios = sorted(self.rate(t, now) / t.allowance for t in self.tenants if t.allowance)
         if not rate or not ratios:
@@ -262,12 +305,12 @@
         bar = sorted(self.worths)[int(self.level * (len(self.worths) - 1))]
         return worth >= bar
 
-    def ended(self, late: bool, now: int) -> None:
-        self.ends.append(late)
-        if now - self.moved >= self.STEP and len(self.ends) >= 20:
+    def found(self, none: bool, now: int) -> None:
+        """An admitted req found room, or none."""
+        self.asked.append(none)
+        if now - self.moved >= self.STEP:
             self.moved = now
-            share = sum(self.ends) / len(self.ends)
-            if share > self.LATE:
+            if sum(self.asked) > self.PRESSED * len(self.asked):
                 self.level = min(self.MOST, self.level + 0.05)
             else:
                 self.level = max(0.0, self.level - 0.02)
@@ -288,6 +331,7 @@
         placement: Placement,
         health: Health,
         cold: Cold,
+        room: Room,
         gate: Gate,
         *,
         origin: int,
@@ -298,7 +342,8 @@
         ask_within: int,
         skip: float,
     ):
-        self.rng, self.placement, self.health, self.cold, self.gate = rng, placement, health, cold, gate
+        self.rng, self.placement, self.health, self.cold = rng, placement, health, cold
+        self.room, self.gate = room, gate
         self.origin_kind, self.most, self.may_duplicate = origin, most_write_outs, may_duplicate
         self.come_back, self.tick, self.skip = come_back, tick, skip
         self.nodes: dict[str, Node] = {}
@@ -359,6 +404,8 @@
         if (again and self.spare < 1) or (out and not self.may_duplicate):
             return (WAIT, None, 0) if out else self.never(req)
         node = self.pick(req, now)
+        if not req.write_outs:
+            self.gate.found(node is None, now)
         if node is None:
             if out:
                 return WAIT, None, 0
@@ -395,6 +442,7 @@
             self.health.answered(node, now)
             node.times.append(spent)
             method.times.append(spent)
+            self.room.answered(node, spent, method.latency_budget)
             if outcome == SATISFIED:
                 self.spare = min(self.FURTHER_MOST, self.spare + self.FURTHER)
         elif outcome in (ERRORED, REFUSED, SEVERED, OVERDUE):
@@ -402,8 +450,9 @@
                 self.health.failed(node, outcome in (REFUSED, SEVERED), now)
             if outcome == OVERDUE:
                 method.times.append(spent)
-        if outcome in (SATISFIED, OVERDUE, FULL) and (self.health.up(node) or outcome == SATISFIED):
-            self.gate.ended(outcome != SATISFIED, now)
+                self.room.ran_out(node)
+        elif outcome == FULL:
+            self.room.ran_out(node)
         out = [w for w in req.write_outs if w.outcome is None]
         if outcome == SATISFIED or req.over:
             return (DONE, None, 0), out
@@ -521,7 +570,8 @@
 
         def able(node: Node) -> bool:
             return (
-                node.state == READY
+                self.room.has(node)
+                and node.state == READY
                 and node not in tried
                 and self.within_group(req, node)
                 and (doubtful or self.health.up(node))
--- a/ivystack/drill/settings.py
+++ b/ivystack/drill/settings.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from ..choice import Choice, Cold, Gate, Health, Placement
+from ..choice import Choice, Cold, Gate, Health, Placement, Room
 from ..model import DEDUPLICATED, NON_RETRYABLE, RETRYABLE, Method, Tenant
 
 SEMANTICS = {"pure": RETRYABLE, "token": DEDUPLICATED, "side_effect": NON_RETRYABLE}
@@ -35,7 +35,8 @@
             Placement(2, config.get("weight_source") in ("nominal", "rough")),
             Health(),
             Cold(rules.get("cold_share") or 1.0, us(rules.get("cold"))),
-            Gate(
+            Room(),
+        Gate(
                 rng,
                 list(self.tenants.values()),
                 1.0 if excess is None else excess,
