--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -243,7 +243,7 @@
 
 
 class Room:
-    """How many of our write-outs a node bears at once: shown by which of them came back in time.
+    """How many of our write-outs a node bears at once: shown by how many came back in time.
 
     Guards against the jam: where late work is not stopped, a deep queue makes all behind it late, so sending on
     keeps the queue full.  Own evidence only; with every proxy doing the same the node's queue drains.
@@ -405,7 +405,7 @@
             return (WAIT, None, 0) if out else self.never(req)
         node = self.pick(req, now)
         if not req.write_outs:
-            self.gate.found(node is None, now)
+            self.gate.found(node is None and self.crowded(req), now)
         if node is None:
             if out:
                 return WAIT, None, 0
@@ -606,6 +606,11 @@
                 return node
         return min(fit, key=lambda node: node.in_flight, default=None)
 
+    def crowded(self, req: Req) -> bool:
+        """It is room that its homes lack, not credit for a cold one: nacking others would earn that no sooner."""
+        homes = self.placement.homes(req.key) if req.key is not None else self.placement.slots
+        return any(node.state == READY and not self.room.has(node) for node in homes)
+
     def doubt(self, req: Req) -> None:
         """A write-out that outlasts patience counts against its node at once: a silent node answers
         nothing, and waiting for each time-out would feed it for a latency budget more."""
