The last resort keeps to the windows too

Cause of signing's overload jam: reqs with both replicas full fell through to a list that ignored the windows.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -598,7 +598,8 @@
             fit = [node for node in homes if able(node)] or [
                 node
                 for node in homes
-                if node.state == READY and self.within_group(req, node) and self.cold.allows(node, slots, now)
+                if node.state == READY and self.room.has(node) and self.within_group(req, node)
+                and self.cold.allows(node, slots, now)
             ]
         bound = max(self.FLOOR, self.skip * self.in_flight / len(slots))
         for node in fit:
