--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -250,10 +250,10 @@
     """
 
     LEAST, MOST = 1.0, 64.0  # one shows when it is better; the most only bounds how long a fall takes
-    FALL = 0.7  # of the window is left after a write-out that ran out of time: the usual cautious halving and a bit
+    FALL = 0.7  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
-    def has(self, node: Node) -> bool:
-        return node.in_flight < max(self.LEAST, int(node.window))
+    def has(self, node: Node, part: float) -> bool:
+        return node.in_flight < max(self.LEAST, part * node.window)
 
     def answered(self, node: Node, spent: int, budget: int) -> None:
         if 2 * spent < budget and 2 * node.in_flight >= node.window - 1:  # only a window in use may grow
@@ -263,18 +263,18 @@
         node.window = max(self.LEAST, node.window * self.FALL)
 
 
-class Gate:
-    """Nacks early, least worth first, while reqs find no room."""
+class Shares:
+    """What a req is worth beside the others: its rank among the last ones decides how much of a window it may use.
 
-    STEP = 250_000  # how often the level moves: a few answers' time
-    PRESSED = 0.03  # of the reqs without room: more than chance brings
-    MOST = 0.95  # never nacks all: what gets through shows when it is over
+    So under pressure the least worth is turned away first, and only at the nodes that are pressed.
+    """
+
+    KEPT = 200  # last reqs to be ranked among: a second or so of a busy proxy's
+    LEAST = 0.5  # of a window, for the least worth
 
     def __init__(self, rng: Random, tenants: list[Tenant], excess: float, parts: int):
         self.rng, self.tenants, self.excess, self.parts = rng, tenants, excess, parts
-        self.level, self.moved = 0.0, 0
-        self.asked: deque[bool] = deque(maxlen=100)  # did it find no room
-        self.worths: deque[float] = deque(maxlen=200)
+        self.worths: deque[float] = deque(maxlen=self.KEPT)
 
     def rate(self, tenant: Tenant, now: int) -> float:
         """Its reqs a second here, from its last arrivals."""
@@ -283,8 +283,10 @@
         return len(tenant.arrivals) * 1_000_000 / (now - tenant.arrivals[0])
 
     def within(self, tenant: Tenant, now: int) -> float:
-        """The part of a tenant's traffic that its share covers.  We see only a part of all traffic, of unknown
-        size: the middle tenant's rate over its allowance tells how large a part."""
+        """The part of a tenant's traffic that its share covers.
+
+        We see only a part of all traffic, of unknown size: the middle tenant's rate over its allowance tells it.
+        """
         rate = self.rate(tenant, now)
         ratios = sorted(self.rate(t, now) / t.allowance for t in self.tenants if t.allowance)
         if not rate or not ratios:
@@ -292,28 +294,16 @@
         part = max(ratios[len(ratios) // 2], 1 / self.parts)
         return min(1.0, part * tenant.allowance / rate)
 
-    def admit(self, req: Req, now: int) -> bool:
+    def part_of_window(self, req: Req, now: int) -> float:
         worth = req.method.criticality
         if req.tenant:
             req.tenant.arrivals.append(now)
-            if self.level and self.rng.random() > self.within(req.tenant, now):
+            if self.rng.random() > self.within(req.tenant, now):
                 worth *= self.excess
         worth *= 1 + 0.01 * self.rng.random()  # equals are parted by chance
         self.worths.append(worth)
-        if not self.level:
-            return True
-        bar = sorted(self.worths)[int(self.level * (len(self.worths) - 1))]
-        return worth >= bar
-
-    def found(self, none: bool, now: int) -> None:
-        """An admitted req found room, or none."""
-        self.asked.append(none)
-        if now - self.moved >= self.STEP:
-            self.moved = now
-            if sum(self.asked) > self.PRESSED * len(self.asked):
-                self.level = min(self.MOST, self.level + 0.05)
-            else:
-                self.level = max(0.0, self.level - 0.02)
+        below = sum(other < worth for other in self.worths)
+        return self.LEAST + (1 - self.LEAST) * below / len(self.worths)
 
 
 # --- The choice ---
@@ -332,7 +322,7 @@
         health: Health,
         cold: Cold,
         room: Room,
-        gate: Gate,
+        shares: Shares,
         *,
         origin: int,
         most_write_outs: int,
@@ -343,7 +333,7 @@
         skip: float,
     ):
         self.rng, self.placement, self.health, self.cold = rng, placement, health, cold
-        self.room, self.gate = room, gate
+        self.room, self.shares = room, shares
         self.origin_kind, self.most, self.may_duplicate = origin, most_write_outs, may_duplicate
         self.come_back, self.tick, self.skip = come_back, tick, skip
         self.nodes: dict[str, Node] = {}
@@ -394,18 +384,14 @@
             return DONE, None, 0
         end = self.end(req)
         out = [w for w in req.write_outs if w.outcome is None]
-        if not req.write_outs and not req.admitted:
-            if not self.gate.admit(req, now):
-                return self.never(req)
-            req.admitted = True
+        if not req.part:
+            req.part = self.shares.part_of_window(req, now)
         if now >= end or len(req.write_outs) >= self.most:
             return (WAIT, None, 0) if out else self.never(req)
         again = bool(req.write_outs) and req.write_outs[-1].outcome not in NEVER_RAN
         if (again and self.spare < 1) or (out and not self.may_duplicate):
             return (WAIT, None, 0) if out else self.never(req)
         node = self.pick(req, now)
-        if not req.write_outs:
-            self.gate.found(node is None and self.crowded(req), now)
         if node is None:
             if out:
                 return WAIT, None, 0
@@ -570,7 +556,7 @@
 
         def able(node: Node) -> bool:
             return (
-                self.room.has(node)
+                self.room.has(node, req.part)
                 and node.state == READY
                 and node not in tried
                 and self.within_group(req, node)
@@ -598,7 +584,7 @@
             fit = [node for node in homes if able(node)] or [
                 node
                 for node in homes
-                if node.state == READY and self.room.has(node) and self.within_group(req, node)
+                if node.state == READY and self.room.has(node, req.part) and self.within_group(req, node)
                 and self.cold.allows(node, slots, now)
             ]
         bound = max(self.FLOOR, self.skip * self.in_flight / len(slots))
@@ -607,11 +593,6 @@
                 return node
         return min(fit, key=lambda node: node.in_flight, default=None)
 
-    def crowded(self, req: Req) -> bool:
-        """It is room that its homes lack, not credit for a cold one: nacking others would earn that no sooner."""
-        homes = self.placement.homes(req.key) if req.key is not None else self.placement.slots
-        return any(node.state == READY and not self.room.has(node) for node in homes)
-
     def doubt(self, req: Req) -> None:
         """A write-out that outlasts patience counts against its node at once: a silent node answers
         nothing, and waiting for each time-out would feed it for a latency budget more."""
--- a/ivystack/drill/settings.py
+++ b/ivystack/drill/settings.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from ..choice import Choice, Cold, Gate, Health, Placement, Room
+from ..choice import Choice, Cold, Health, Placement, Room, Shares
 from ..model import DEDUPLICATED, NON_RETRYABLE, RETRYABLE, Method, Tenant
 
 SEMANTICS = {"pure": RETRYABLE, "token": DEDUPLICATED, "side_effect": NON_RETRYABLE}
@@ -36,7 +36,7 @@
             Health(),
             Cold(rules.get("cold_share") or 1.0, us(rules.get("cold"))),
             Room(),
-        Gate(
+            Shares(
                 rng,
                 list(self.tenants.values()),
                 1.0 if excess is None else excess,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from ivystack.choice import Choice, Cold, Gate, Health, Placement, Room
+from ivystack.choice import Choice, Cold, Health, Placement, Room, Shares
 from ivystack.model import RETRYABLE, Method, Node, Req
 
 S = 1_000_000
@@ -23,7 +23,7 @@
         Health(),
         Cold(cold_share, cold),
         Room(),
-        Gate(rng, list(tenants), 0.1, 1),
+        Shares(rng, list(tenants), 0.1, 1),
         **(given | more),
     )
     made.listed(list(listed), True, now)
