--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -245,8 +245,8 @@
 class Room:
     """How many of our write-outs a node bears at once: shown by how many came back in time.
 
-    Guards against the jam: where late work is not stopped, a deep queue makes all behind it late, so sending on
-    keeps the queue full.  Own evidence only; with every proxy doing the same the node's queue drains.
+    Guards against the jam: where late work is not stopped, a deep queue makes all behind it late, so sending
+    on keeps the queue full.  Own evidence only; with every proxy doing the same the node's queue drains.
     """
 
     LEAST, MOST = 1.0, 64.0  # one shows when it is better; the most only bounds how long a fall takes
@@ -264,7 +264,7 @@
 
 
 class Shares:
-    """What a req is worth beside the others: its rank among the last ones decides how much of a window it may use.
+    """What a req is worth beside the others: its rank among the last says how much of a window it may use.
 
     So under pressure the least worth is turned away first, and only at the nodes that are pressed.
     """
@@ -285,7 +285,7 @@
     def within(self, tenant: Tenant, now: int) -> float:
         """The part of a tenant's traffic that its share covers.
 
-        We see only a part of all traffic, of unknown size: the middle tenant's rate over its allowance tells it.
+        We see only a part of all traffic, of unknown size: the middle tenant's rate over its allowance is it.
         """
         rate = self.rate(tenant, now)
         ratios = sorted(self.rate(t, now) / t.allowance for t in self.tenants if t.allowance)
@@ -474,11 +474,11 @@
         return end - self.MARGIN * self.tick
 
     def patience(self, method: Method, left: int) -> int:
-        """How long a write-out may take before another is worth trying: twice what nine in ten of the last
-        took, but never all of what is left."""
+        """How long a write-out may take before another is worth trying: what nine in ten of the last took, but
+        no less than a quarter and no more than half of what is left, so that the other has time too."""
         times = sorted(method.times)
-        usual = 2 * times[len(times) * 9 // 10] if len(times) >= 8 else left // 2
-        return max(min(usual, left), left // 4)
+        usual = times[len(times) * 9 // 10] if len(times) >= 8 else left // 2
+        return max(min(usual, left // 2), left // 4)
 
     def until(self, req: Req, node: Node, now: int, end: int) -> int:
         if self.may_duplicate or not self.repeatable(req) or len(req.write_outs) + 1 >= self.most:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -97,7 +97,7 @@
 
 
 def test_cold_node_gets_only_what_its_credit_covers():
-    made = choice([*nodes(5), Node("cold", started=1)], cold_share=0.1, cold=100 * S)
+    made = choice([*nodes(5, window=999), Node("cold", window=999, started=1)], cold_share=0.1, cold=100 * S)
     sent = Counter(made.where(req(key=key), 2)[1].name for key in range(400))
     assert 1 <= sent["cold"] <= 0.1 * sent.total() / 5 + 2
 
