--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -250,13 +250,16 @@
     """
 
     LEAST, MOST = 1.0, 64.0  # one shows when it is better; the most only bounds how long a fall takes
+    EBB = 0.93  # after an answer that took more than half the latency budget: a queue is building up
     FALL = 0.7  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
     def has(self, node: Node, part: float) -> bool:
         return node.in_flight < max(self.LEAST, part * node.window)
 
     def answered(self, node: Node, spent: int, budget: int) -> None:
-        if 2 * spent < budget and 2 * node.in_flight >= node.window - 1:  # only a window in use may grow
+        if 2 * spent > budget:
+            node.window = max(self.LEAST, node.window * self.EBB)
+        elif 2 * node.in_flight >= node.window - 1:  # only a window in use may grow
             node.window = min(self.MOST, node.window + 1 / node.window)
 
     def ran_out(self, node: Node) -> None:
@@ -474,11 +477,11 @@
         return end - self.MARGIN * self.tick
 
     def patience(self, method: Method, left: int) -> int:
-        """How long a write-out may take before another is worth trying: what nine in ten of the last took, but
-        no less than a quarter and no more than half of what is left, so that the other has time too."""
+        """How long a write-out may take before another is worth trying: three times what nine in ten of the
+        last took, but at least half of what is left: a copy sent sooner feeds the queue that made it late."""
         times = sorted(method.times)
-        usual = times[len(times) * 9 // 10] if len(times) >= 8 else left // 2
-        return max(min(usual, left // 2), left // 4)
+        usual = 3 * times[len(times) * 9 // 10] if len(times) >= 8 else left
+        return max(min(usual, left), left // 2)
 
     def until(self, req: Req, node: Node, now: int, end: int) -> int:
         if self.may_duplicate or not self.repeatable(req) or len(req.write_outs) + 1 >= self.most:
