--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -249,18 +249,21 @@
     on keeps the queue full.  Own evidence only; with every proxy doing the same the node's queue drains.
     """
 
-    LEAST, MOST = 1.0, 64.0  # one shows when it is better; the most only bounds how long a fall takes
+    LEAST, MOST = 0.05, 64.0  # one in 2 s shows when it is better; the most bounds a fall
+    REST = 100_000  # between write-outs, over the window, when that is below one: some answers' time
     EBB = 0.93  # after an answer that took more than half the latency budget: a queue is building up
     FALL = 0.7  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
-    def has(self, node: Node, part: float) -> bool:
-        return node.in_flight < max(self.LEAST, part * node.window)
+    def has(self, node: Node, part: float, now: int) -> bool:
+        if node.window < 1:  # below one write-out at a time, one after a rest
+            return not node.in_flight and now >= node.sent + self.REST / node.window
+        return node.in_flight < max(1, part * node.window)
 
     def answered(self, node: Node, spent: int, budget: int) -> None:
         if 2 * spent > budget:
             node.window = max(self.LEAST, node.window * self.EBB)
         elif 2 * node.in_flight >= node.window - 1:  # only a window in use may grow
-            node.window = min(self.MOST, node.window + 1 / node.window)
+            node.window = min(self.MOST, node.window + 1 / max(1.0, node.window))
 
     def ran_out(self, node: Node) -> None:
         node.window = max(self.LEAST, node.window * self.FALL)
@@ -410,6 +413,7 @@
             self.health.failed(node, False, now)
         req.write_outs.append(write_out)
         node.in_flight += 1
+        node.sent = now
         self.in_flight += 1
         self.cold.spent(node, self.placement.slots, now)
         if until < end or (self.may_duplicate and self.repeatable(req)):
@@ -559,7 +563,7 @@
 
         def able(node: Node) -> bool:
             return (
-                self.room.has(node, req.part)
+                self.room.has(node, req.part, now)
                 and node.state == READY
                 and node not in tried
                 and self.within_group(req, node)
@@ -587,7 +591,7 @@
             fit = [node for node in homes if able(node)] or [
                 node
                 for node in homes
-                if node.state == READY and self.room.has(node, req.part) and self.within_group(req, node)
+                if node.state == READY and self.room.has(node, req.part, now) and self.within_group(req, node)
                 and self.cold.allows(node, slots, now)
             ]
         bound = max(self.FLOOR, self.skip * self.in_flight / len(slots))
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -46,6 +46,7 @@
     drained: bool = False  # seen leaving since it last was ready
     left_at: int = 0
     in_flight: int = 0  # own write-outs there
+    sent: int = 0  # when the last went out
     failures: int = 0  # in a row
     broken: bool = False  # one of them was a broken or refused connection
     trial_at: int = 0  # when down: not before this
