--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -250,9 +250,10 @@
     """
 
     LEAST, MOST = 0.05, 64.0  # one in 2 s shows when it is better; the most bounds a fall
+    START = 4.0  # of a window: within a few answers a node shows whether it bears more, or less
     REST = 100_000  # between write-outs, over the window, when that is below one: some answers' time
     EBB = 0.93  # after an answer that took more than half the latency budget: a queue is building up
-    FALL = 0.7  # of the window is left after a write-out that ran out of time: between a halving and a nudge
+    FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
     def has(self, node: Node, part: float, now: int) -> bool:
         if node.window < 1:  # below one write-out at a time, one after a rest
@@ -362,6 +363,7 @@
         """List news: nodes as now listed.  One known before is taken over under the object that is known."""
         for new in nodes:
             node = self.nodes.setdefault(new.name, new)
+            node.window = node.window or self.room.START
             if node is not new:
                 if new.started != node.started and new.state == READY and new.started > node.started:
                     node.started, node.credit, node.failures, node.trials = new.started, 0.0, 0, 0
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -51,7 +51,7 @@
     broken: bool = False  # one of them was a broken or refused connection
     trial_at: int = 0  # when down: not before this
     trials: int = 0  # since it went down
-    window: float = 8.0  # own write-outs it bears at once
+    window: float = 0.0  # own write-outs it bears at once
     credit: float = 0.0  # what a cold node may still be sent
     times: deque = field(default_factory=lambda: deque(maxlen=8))  # its last answers' times
 
