--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -252,7 +252,6 @@
     LEAST, MOST = 0.05, 64.0  # one in 2 s shows when it is better; the most bounds a fall
     START = 4.0  # of a window: within a few answers a node shows whether it bears more, or less
     REST = 100_000  # between write-outs, over the window, when that is below one: some answers' time
-    EBB = 0.93  # after an answer that took more than half the latency budget: a queue is building up
     FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
     def has(self, node: Node, part: float, now: int) -> bool:
@@ -261,9 +260,7 @@
         return node.in_flight < max(1, part * node.window)
 
     def answered(self, node: Node, spent: int, budget: int) -> None:
-        if 2 * spent > budget:
-            node.window = max(self.LEAST, node.window * self.EBB)
-        elif 2 * node.in_flight >= node.window - 1:  # only a window in use may grow
+        if 2 * node.in_flight >= node.window - 1:  # only a window in use may grow
             node.window = min(self.MOST, node.window + 1 / max(1.0, node.window))
 
     def ran_out(self, node: Node) -> None:
