--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -175,7 +175,7 @@
 class Health:
     """Tells nodes that can be sent work from those that get a trial now and then."""
 
-    FAILED = 3  # in a row: two can be chance at a busy node, and each further one costs a req its time
+    FAILED = 2  # in a row: one can be chance, and each further one costs a req its time
     PAUSE = 500_000  # before a down node's first trial; doubled a trial, up to eight times that
 
     def up(self, node: Node) -> bool:
@@ -197,7 +197,11 @@
         if node.broken and node.failures >= self.FAILED:
             node.started = now  # its process was gone, so it is back cold, though the list may not say so yet
             node.credit = 0.0
-        node.failures, node.trials, node.trial_at, node.broken = 0, 0, 0, False
+        node.broken = False
+        if node.failures >= self.FAILED:
+            node.failures = self.FAILED - 1  # on trial still: one that fails now and then is out at once
+        else:
+            node.failures, node.trials, node.trial_at = 0, 0, 0
 
 
 # --- Cold nodes: a budget in proportion to what the warm ones are sent ---
@@ -496,9 +500,9 @@
         heapq.heappush(self.due, (at, self.count, req))
 
     def hold(self, req: Req, now: int, end: int) -> tuple:
-        """Nowhere to send it now: look again soon, as long as an answer could still be in time."""
-        soon = now + 20_000  # a few answers' time at a cold node
-        if soon >= end:
+        """Nowhere to send it now: look again soon, for a part of its time only; a quick nack costs less."""
+        soon = now + 20_000  # about an answer's time
+        if soon >= req.arrived + (end - req.arrived) // 4:  # what starts later is seldom answered in time
             return self.never(req)
         self.later(req, soon)
         return WAIT, None, 0
