--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -420,7 +420,7 @@
         self.in_flight += 1
         self.cold.spent(node, self.placement.slots, now)
         if until < end or (self.may_duplicate and self.repeatable(req)):
-            self.later(req, now + self.patience(req.method, end - now))
+            self.later(req, now + self.patience(req.method, end - now, write_out.trial))
         return GO, node, until
 
     def after(self, write_out: WriteOut, outcome: str, now: int) -> tuple[tuple, list[WriteOut]]:
@@ -483,10 +483,12 @@
             end = min(end, req.arrived + req.method.latency_budget)
         return end - self.MARGIN * self.tick
 
-    def patience(self, method: Method, left: int) -> int:
+    def patience(self, method: Method, left: int, trial: bool = False) -> int:
         """How long a write-out may take before another is worth trying: three times what nine in ten of the
         last took, but at least half of what is left: a copy sent sooner feeds the queue that made it late."""
         times = sorted(method.times)
+        if trial:  # the node is down for all we know, and the req shall not suffer for our finding out
+            return min(2 * times[len(times) // 2], left // 3) if times else left // 3
         usual = 3 * times[len(times) * 9 // 10] if len(times) >= 8 else left
         return max(min(usual, left), left // 2)
 
