Under pressure likely hits go first

Cause: every recorded jam is one at the origin, and a miss holds its place at the node while it waits there.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -259,9 +259,10 @@
     FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
     def has(self, node: Node, part: float, now: int) -> bool:
-        if node.window < 1:  # below one write-out at a time, one after a rest
-            return not node.in_flight and now >= node.sent + self.REST / node.window
-        return node.in_flight < max(1, part * node.window)
+        room = part * node.window
+        if room < 1:  # below one write-out at a time, one after a rest
+            return not node.in_flight and now >= node.sent + self.REST / room
+        return node.in_flight < room
 
     def answered(self, node: Node, spent: int, budget: int) -> None:
         if 2 * node.in_flight >= node.window - 1:  # only a window in use may grow
@@ -278,11 +279,14 @@
     """
 
     KEPT = 200  # last reqs to be ranked among: a second or so of a busy proxy's
-    LEAST = 0.5  # of a window, for the least worth
+    LEAST = 0.25  # of a window, for the least worth
+    KEYS = 1000  # last answered ones that a cache will mostly still hold
+    MISS = 0.5  # of its worth for the rest: a miss costs the origin, and holds a place while it is fetched
 
     def __init__(self, rng: Random, tenants: list[Tenant], excess: float, parts: int):
         self.rng, self.tenants, self.excess, self.parts = rng, tenants, excess, parts
         self.worths: deque[float] = deque(maxlen=self.KEPT)
+        self.seen: OrderedDict[int, bool] = OrderedDict()
 
     def rate(self, tenant: Tenant, now: int) -> float:
         """Its reqs a second here, from its last arrivals."""
@@ -302,12 +306,20 @@
         part = max(ratios[len(ratios) // 2], 1 / self.parts)
         return min(1.0, part * tenant.allowance / rate)
 
+    def answered(self, key: int | None) -> None:
+        self.seen[key] = True
+        self.seen.move_to_end(key)
+        if len(self.seen) > self.KEYS:
+            self.seen.popitem(last=False)
+
     def part_of_window(self, req: Req, now: int) -> float:
         worth = req.method.criticality
         if req.tenant:
             req.tenant.arrivals.append(now)
             if self.rng.random() > self.within(req.tenant, now):
                 worth *= self.excess
+        if req.key not in self.seen:
+            worth *= self.MISS
         worth *= 1 + 0.01 * self.rng.random()  # equals are parted by chance
         self.worths.append(worth)
         below = sum(other < worth for other in self.worths)
@@ -393,7 +405,8 @@
             return DONE, None, 0
         end = self.end(req)
         out = [w for w in req.write_outs if w.outcome is None]
-        if not req.part:
+        if not req.ranked:
+            req.ranked = True
             req.part = self.shares.part_of_window(req, now)
         if now >= end or len(req.write_outs) >= self.most:
             return (WAIT, None, 0) if out else self.never(req)
@@ -441,6 +454,7 @@
             self.room.answered(node, spent, method.latency_budget)
             if outcome == SATISFIED:
                 self.spare = min(self.FURTHER_MOST, self.spare + self.FURTHER)
+                self.shares.answered(req.key)
         elif outcome in (ERRORED, REFUSED, SEVERED, OVERDUE):
             if not write_out.doubted:
                 self.health.failed(node, outcome in (REFUSED, SEVERED), now)
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -85,7 +85,8 @@
     write: bool = False
     repeat: bool = False
     over: bool = False  # concluded, by whom ever
-    part: float = 0.0  # of a node's window that it may use; 0: not looked at yet
+    ranked: bool = False
+    part: float = 1.0  # of a node's window that it may use, by its rank
     write_outs: list = field(default_factory=list)
     probe_of: Node | None = None  # standing req: probe this node
     list_call: bool = False  # standing req: ask for the list
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -208,3 +208,17 @@
     made.wait(10)
     made.after(asked.write_outs[0], REFUSED, 10)
     assert node.failures == 1
+
+
+def test_the_least_worth_and_likely_misses_find_a_window_full_first():
+    made = choice(nodes(4))
+    made.shares.answered(7)
+    parts = [made.shares.part_of_window(req(key=key), 0) for key in [7] * 50 + [8] * 50 + [7]]
+    assert parts[-1] > max(parts[60:100])
+
+
+def test_a_window_below_one_spaces_write_outs():
+    made = choice(nodes(1))
+    node = made.placement.slots[0]
+    node.window, node.sent = 0.1, 0
+    assert not made.room.has(node, 1.0, S // 2) and made.room.has(node, 1.0, S + 1)
