--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -254,7 +254,7 @@
     """
 
     LEAST, MOST = 0.05, 64.0  # one in 2 s shows when it is better; the most bounds a fall
-    START = 4.0  # of a window: within a few answers a node shows whether it bears more, or less
+    START = 12.0  # of a window: so that the least worth still has one place at a node that shows no strain
     REST = 100_000  # between write-outs, over the window, when that is below one: some answers' time
     FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
@@ -265,7 +265,7 @@
         return node.in_flight < room
 
     def answered(self, node: Node, spent: int, budget: int) -> None:
-        if 2 * node.in_flight >= node.window - 1:  # only a window in use may grow
+        if node.window < self.START or 2 * node.in_flight >= node.window - 1:  # beyond: only one in use
             node.window = min(self.MOST, node.window + 1 / max(1.0, node.window))
 
     def ran_out(self, node: Node) -> None:
@@ -279,9 +279,9 @@
     """
 
     KEPT = 200  # last reqs to be ranked among: a second or so of a busy proxy's
-    LEAST = 0.25  # of a window, for the least worth
+    LEAST = 0.1  # of a window, for the least worth
     KEYS = 1000  # last answered ones that a cache will mostly still hold
-    MISS = 0.5  # of its worth for the rest: a miss costs the origin, and holds a place while it is fetched
+    MISS = 0.2  # of its worth for the rest: a miss costs the origin, and holds a place while it is fetched
 
     def __init__(self, rng: Random, tenants: list[Tenant], excess: float, parts: int):
         self.rng, self.tenants, self.excess, self.parts = rng, tenants, excess, parts
