--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -256,7 +256,7 @@
     LEAST, MOST = 0.05, 64.0  # one in 2 s shows when it is better; the most bounds a fall
     START = 12.0  # of a window: so that the least worth still has one place at a node that shows no strain
     REST = 100_000  # between write-outs, over the window, when that is below one: some answers' time
-    GROWTH = 0.2  # of a small window, an answer: one time-out in three holds it where it is
+    GROWTH = 0.1  # of a small window, an answer: one time-out in seven holds it where it is
     FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
     def has(self, node: Node, part: float, now: int) -> bool:
