--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -377,7 +377,9 @@
         """List news: nodes as now listed.  One known before is taken over under the object that is known."""
         for new in nodes:
             node = self.nodes.setdefault(new.name, new)
-            node.window = node.window or self.room.START
+            node.window = node.window or (
+                self.room.MOST if node.kind == self.origin_kind else self.room.START
+            )
             if node is not new:
                 if new.started != node.started and new.state == READY and new.started > node.started:
                     node.started, node.credit, node.failures, node.trials = new.started, 0.0, 0, 0
@@ -508,7 +510,8 @@
         return max(min(usual, left), left // 2)
 
     def until(self, req: Req, node: Node, now: int, end: int) -> int:
-        if self.may_duplicate or not self.repeatable(req) or len(req.write_outs) + 1 >= self.most:
+        last = len(req.write_outs) + 1 >= self.most or node.kind == self.origin_kind  # there is no other origin
+        if self.may_duplicate or not self.repeatable(req) or last:
             return end
         return now + self.patience(req.method, end - now)
 
@@ -571,7 +574,9 @@
         if not self.may_send_again(req, now):
             return None
         if self.origin_kind >= 0 and (req.write or req.write_outs and req.write_outs[-1].outcome == MISSED):
-            return min(self.origins, key=lambda node: node.in_flight, default=None)
+            # The rank counts half: it already let the req miss, and turned away here that was for nothing.
+            fit = [node for node in self.origins if self.room.has(node, (1 + req.part) / 2, now)]
+            return min(fit, key=lambda node: node.in_flight, default=None)
         slots = self.placement.slots
         if not slots:
             return None
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -222,3 +222,11 @@
     node = made.placement.slots[0]
     node.window, node.sent = 0.1, 0
     assert not made.room.has(node, 1.0, S // 2) and made.room.has(node, 1.0, S + 1)
+
+
+def test_the_origin_has_a_window_and_is_given_all_the_time_left():
+    made = choice([*nodes(3), Node("origin", kind=4)], origin=4, may_duplicate=False)
+    asked = req(write=True)
+    assert made.where(asked, 0)[1:] == (made.origins[0], S)
+    made.origins[0].window = 1.0
+    assert made.where(req(write=True), 0)[0] == WAIT
