--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -510,7 +510,8 @@
         return max(min(usual, left), left // 2)
 
     def until(self, req: Req, node: Node, now: int, end: int) -> int:
-        last = len(req.write_outs) + 1 >= self.most or node.kind == self.origin_kind  # there is no other origin
+        # There is no other origin to try.
+        last = len(req.write_outs) + 1 >= self.most or node.kind == self.origin_kind
         if self.may_duplicate or not self.repeatable(req) or last:
             return end
         return now + self.patience(req.method, end - now)
