--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -117,8 +117,11 @@
     # spares.
     AWAITED = 40_000_000
 
-    def __init__(self, k: int, sized: bool):
-        self.k, self.sized = k, sized
+    K = 2  # replicas of a key: 3 was tried, and leaves each cache less room for keys of its own
+    MOST = 3  # places of a key, its spare included: the design page's
+
+    def __init__(self, sized: bool):
+        self.sized = sized
         self.slots: list[Node] = []
         self.known: OrderedDict[int, list[Node]] = OrderedDict()
 
@@ -148,7 +151,7 @@
             found = draws(key, len(self.slots))
             if self.sized:
                 found = self.sized_digits(found)
-            nodes = [self.slots[slot] for slot in spots(found, self.k)]
+            nodes = [self.slots[slot] for slot in spots(found, self.K)[: self.MOST]]
             self.known[key] = nodes
             if len(self.known) > self.KEPT:
                 self.known.popitem(last=False)
@@ -165,7 +168,7 @@
             weight = self.slots[slot].weight
             total += weight
             share = weight / total if total else 1 / (slot + 1)
-            quasi.append(int((digit + 0.5) / (slot + 1) / min(share, 1 / self.k)))
+            quasi.append(int((digit + 0.5) / (slot + 1) / min(share, 1 / self.K)))
         return quasi
 
 
@@ -332,6 +335,7 @@
 
 class Choice:
     FLOOR = 2  # the skip rule's least bound, the design page's
+    SKIP = 2.0  # times the mean in flight a cache: the design page's; 1.5 and 3 were tried
     FURTHER = 0.15  # further write-outs and second copies earned by each satisfied req
     FURTHER_MOST = 20.0  # and kept at most: enough for what a dying node held
     MARGIN = 2  # ticks that an answer needs to get back to the client in time
@@ -351,12 +355,11 @@
         come_back: int,
         tick: int,
         ask_within: int,
-        skip: float,
     ):
         self.rng, self.placement, self.health, self.cold = rng, placement, health, cold
         self.room, self.shares = room, shares
         self.origin_kind, self.most, self.may_duplicate = origin, most_write_outs, may_duplicate
-        self.come_back, self.tick, self.skip = come_back, tick, skip
+        self.come_back, self.tick = come_back, tick
         self.nodes: dict[str, Node] = {}
         self.origins: list[Node] = []
         self.in_flight = 0
@@ -582,7 +585,7 @@
         if not slots:
             return None
         homes = self.placement.homes(req.key if req.key is not None else self.rng.getrandbits(50))
-        replicas = homes[: self.placement.k]
+        replicas = homes[: self.placement.K]
         tried = [w.node for w in req.write_outs if w.outcome not in (FULL, SUPERSEDED)]
         doubtful = self.health.doubtful(slots)
         lone = not self.may_have_run(req)
@@ -620,7 +623,7 @@
                 if node.state == READY and self.room.has(node, req.part, now) and self.within_group(req, node)
                 and self.cold.allows(node, slots, now)
             ]
-        bound = max(self.FLOOR, self.skip * self.in_flight / len(slots))
+        bound = max(self.FLOOR, self.SKIP * self.in_flight / len(slots))
         for node in fit:
             if node.in_flight <= bound:
                 return node
--- a/ivystack/drill/settings.py
+++ b/ivystack/drill/settings.py
@@ -32,7 +32,7 @@
         excess = config.get("excess_criticality")
         self.choice = Choice(
             rng,
-            Placement(2, config.get("weight_source") in ("nominal", "rough")),
+            Placement(config.get("weight_source") in ("nominal", "rough")),
             Health(),
             Cold(rules.get("cold_share") or 1.0, us(rules.get("cold"))),
             Room(),
@@ -48,7 +48,6 @@
             come_back=us(limits.get("max_retry_after")) if limits.get("retry_after") else 0,
             tick=us(config.get("granularity")),
             ask_within=us(rules.get("ask_within")) if asks else 0,
-            skip=2.0,
         )
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -15,11 +15,11 @@
 def choice(listed=(), *, tenants=(), cold_share=1.0, cold=0, sized=False, now=0, **more):
     rng = Random(1)
     given = dict(
-        origin=-1, most_write_outs=3, may_duplicate=True, come_back=0, tick=0, ask_within=0, skip=2.0
+        origin=-1, most_write_outs=3, may_duplicate=True, come_back=0, tick=0, ask_within=0
     )
     made = Choice(
         rng,
-        Placement(2, sized),
+        Placement(sized),
         Health(),
         Cold(cold_share, cold),
         Room(),
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -58,14 +58,14 @@
 
 
 def test_weights_give_shares_in_proportion():
-    placement = Placement(2, True)
+    placement = Placement(True)
     placement.settle([Node(f"n{i}", weight=1.0 if i < 6 else 2.0) for i in range(9)], 0)
     shares = Counter(node.name for key in range(8000) for node in placement.homes(key)[:2])
     assert 1.7 < shares["n8"] / shares["n4"] < 2.3
 
 
 def test_a_weight_due_more_than_every_key_takes_every_key_once():
-    placement = Placement(2, True)
+    placement = Placement(True)
     placement.settle([Node("a"), Node("b"), Node("c", weight=50.0)], 0)
     assert all("c" in [node.name for node in placement.homes(key)[:2]] for key in range(200))
 
