--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -168,7 +168,8 @@
             weight = self.slots[slot].weight
             total += weight
             share = weight / total if total else 1 / (slot + 1)
-            quasi.append(int((digit + 0.5) / (slot + 1) / min(share, 1 / self.K)))
+            due = min(share, 1 / self.K)
+            quasi.append(int((digit + 0.5) / (slot + 1) / due) if due else self.K + 1)
         return quasi
 
 
@@ -235,7 +236,8 @@
             other.weight for other, _ in cold
         )
         for other, warmth in cold:
-            other.credit = min(self.MOST, other.credit + warmth * other.weight / max(warm, other.weight))
+            part = other.weight / (max(warm, other.weight) or 1)
+            other.credit = min(self.MOST, other.credit + warmth * part)
 
     def allows(self, node: Node, slots: list[Node], now: int) -> bool:
         if self.warmth(node, now) >= 1 or node.credit >= 1:
@@ -455,7 +457,6 @@
         spent = now - write_out.sent
         if outcome in (SATISFIED, MISSED):
             self.health.answered(node, now)
-            node.times.append(spent)
             method.times.append(spent)
             self.room.answered(node, spent, method.latency_budget)
             if outcome == SATISFIED:
--- a/ivystack/drill/wire.py
+++ b/ivystack/drill/wire.py
@@ -46,6 +46,18 @@
     """What came is not the wire's."""
 
 
+class GaveInError(Exception):
+    """The decisions of one instance failed."""
+
+
+def decided(call, *values):
+    """What a call of the decisions answers; its failure is told apart from a line that can't be read."""
+    try:
+        return call(*values)
+    except Exception as fault:
+        raise GaveInError(f"{type(fault).__name__}: {fault}") from fault
+
+
 class Instance:
     """One proxy: its decisions, its reqs in hand, its timers."""
 
@@ -74,13 +86,13 @@
         *_,
     ):
         method = self.settings.methods.get(method)
-        if method is None or give_up_at is None or ref in self.reqs:
+        if method is None or give_up_at is None or ref in self.reqs or not isinstance(key, int | None):
             raise BadLineError("a req of an unknown method, without an end, or with an id used before")
         tenant = self.settings.tenants.get(tenant) if isinstance(tenant, str) else None
         req = Req(method, now, us(give_up_at), key, tenant, bool(write), bool(repeat))
         self.reqs[ref] = req
         self.refs[req] = ref
-        self.carry(req, self.choice.where(req, now))
+        self.carry(req, decided(self.choice.where, req, now))
 
     def carry(self, req: Req, answer: tuple) -> None:
         """Writes what an answer says."""
@@ -117,7 +129,7 @@
             raise BadLineError("a second ending of one write-out")
         if last:
             req.over = True
-        answer, off = self.choice.after(write_out, ENDINGS[ending], now)
+        answer, off = decided(self.choice.after, write_out, ENDINGS[ending], now)
         self.call_off(req, off)
         self.carry(req, (DONE, None, 0) if req.over else answer)
 
@@ -131,13 +143,13 @@
             return  # we ended it a moment ago
         req.over = True
         if req.write_outs:
-            self.call_off(req, self.choice.after(req.write_outs[-1], CLIENT_GONE, now)[1])
+            self.call_off(req, decided(self.choice.after, req.write_outs[-1], CLIENT_GONE, now)[1])
         self.close(req)
 
     def listed(self, now, entries, how):
         if how == "X":
             if self.listing:
-                self.choice.after(self.listing, ERRORED, now)
+                decided(self.choice.after, self.listing, ERRORED, now)
             return
         nodes = []
         for flavor, name, share, bay, mode, zone, came_up, *_ in entries:
@@ -152,18 +164,18 @@
                     us(came_up),
                 )
             )
-        self.choice.listed(nodes, how != "D", now)
+        decided(self.choice.listed, nodes, how != "D", now)
         if self.listing and how != "C":
-            self.choice.after(self.listing, SATISFIED, now)
+            decided(self.choice.after, self.listing, SATISFIED, now)
 
     def settle(self, now: int) -> None:
         """After the events of a batch: what is due now, and a timer for what is due next."""
         while True:
-            rest, due = self.choice.wait(now)
+            rest, due = decided(self.choice.wait, now)
             if not due:
                 break
             for req in due:
-                self.carry(req, self.choice.where(req, now))
+                self.carry(req, decided(self.choice.where, req, now))
         if rest is not None:
             at = now + max(rest, 1)
             if self.timer_at is None or at < self.timer_at or self.timer_at <= now:
@@ -177,7 +189,8 @@
         self.sheets: dict[int, list] = {}
         self.now: int | None = None
         self.touched: dict[str, Instance] = {}
-        self.given_in: list[list] = []
+        self.lines: list[list] = []
+        self.lost: set[str] = set()  # instances whose decisions failed: nothing more is asked of them
 
     def line(self, line: bytes) -> bytes | None:
         try:
@@ -198,11 +211,20 @@
                 self.sheets[values[0]] = values[1]
             else:
                 self.event(name, *values)
+        except GaveInError as fault:
+            self.given_in(values[0], fault)
         except (TypeError, ValueError, KeyError, IndexError, AttributeError) as fault:
             raise BadLineError(f"{name}: {type(fault).__name__}: {fault}") from None
         return None
 
+    def given_in(self, proxy: str, fault: GaveInError) -> None:
+        self.lines.append(["GIVE_IN", proxy, str(fault)])
+        self.lost.add(proxy)
+        self.touched.pop(proxy, None)
+
     def event(self, name: str, proxy: str, *values) -> None:
+        if proxy in self.lost:
+            return
         if name == "UP":
             self.touched[proxy] = self.instances[proxy] = Instance(proxy, *values[:2])
             return
@@ -229,11 +251,17 @@
             raise BadLineError(f"no such event: {name}")
 
     def end(self) -> bytes:
-        lines = []
-        for instance in self.touched.values():
-            instance.settle(self.now)
+        lines = self.lines
+        self.lines = []
+        for proxy, instance in list(self.touched.items()):
+            try:
+                instance.settle(self.now)
+            except GaveInError as fault:
+                self.given_in(proxy, fault)
             lines += instance.out
             instance.out = []
+        lines += self.lines
+        self.lines = []
         self.touched.clear()
         self.now = None
         lines.append(["FINISHED"])
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -53,7 +53,6 @@
     trials: int = 0  # since it went down
     window: float = 0.0  # own write-outs it bears at once
     credit: float = 0.0  # what a cold node may still be sent
-    times: deque = field(default_factory=lambda: deque(maxlen=8))  # its last answers' times
 
 
 @dataclass(eq=False, slots=True)
@@ -88,7 +87,6 @@
     ranked: bool = False
     part: float = 1.0  # of a node's window that it may use, by its rank
     write_outs: list = field(default_factory=list)
-    probe_of: Node | None = None  # standing req: probe this node
     list_call: bool = False  # standing req: ask for the list
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -230,3 +230,9 @@
     assert made.where(asked, 0)[1:] == (made.origins[0], S)
     made.origins[0].window = 1.0
     assert made.where(req(write=True), 0)[0] == WAIT
+
+
+def test_zero_weights_hold_no_keys_but_the_first():
+    placement = Placement(True)
+    placement.settle([Node("a"), Node("b"), Node("c", weight=0.0), Node("d")], 0)
+    assert all("c" not in [node.name for node in placement.homes(key)[:2]] for key in range(100))
--- /dev/null
+++ b/tests/test_drill.py
@@ -0,0 +1,66 @@
+import orjson
+import pytest
+from helpers import S
+
+from ivystack.drill.wire import BadLineError, Wire
+
+METHOD = {"name": "read", "semantics": "pure", "latency_budget": S * 1000, "give_up": 2 * S * 1000}
+
+
+def play(wire, *messages):
+    reply = None
+    for message in messages:
+        reply = wire.line(orjson.dumps(message))
+    return [orjson.loads(line) for line in reply.splitlines()]
+
+
+def up(wire, mode="active"):
+    node = ["std", "n1", 1, 0, mode, "z", None]
+    return play(
+        wire,
+        ["TURN", 1000],
+        ["UP", "proxy_0", 7, {"methods": [METHOD], "limits": None, "unheard_of": [1]}],
+        ["REGISTER", 0, [node]],
+        ["MEMBERS", "proxy_0", 0, "C", 1],
+        ["END"],
+    )
+
+
+def test_a_req_goes_out_and_its_answer_closes_it():
+    wire = Wire()
+    assert up(wire) == [["FINISHED"]]
+    reply = play(wire, ["TURN", 2000], ["ASK", "proxy_0", 9, "read", None, 5, 3 * S * 1000], ["END"])
+    assert reply == [["TRANSMIT", "proxy_0", 9, S * 1000 + 2000, "n1"], ["FINISHED"]]
+    done = ["FINISHED", "proxy_0", 9, 0, "n1", "completed", 10, True, None, None]
+    assert play(wire, ["TURN", 3000], done, ["END"]) == [["FINISHED"]]
+    assert not wire.instances["proxy_0"].reqs
+
+
+def test_unreadable_lines_are_told_in_one_line():
+    for lines in (
+        [b"no"],
+        [b"[]"],
+        [b'["END"]'],
+        [b'["TURN",1]', b'["TIMER","proxy_4",1]'],
+        [b'["TURN",1]', b'["MEMBERS"]'],
+        [b'["TURN","x"]'],
+    ):
+        wire = Wire()
+        with pytest.raises(BadLineError) as fault:
+            for line in lines:
+                wire.line(line)
+        assert "\n" not in str(fault.value)
+
+
+def test_a_client_gone_that_we_ended_just_now_is_ignored():
+    wire = Wire()
+    up(wire, "leaving")
+    assert play(wire, ["TURN", 2000], ["CANCELLED_BY_CLIENT", "proxy_0", 5], ["END"]) == [["FINISHED"]]
+
+
+def test_a_failure_of_the_decisions_gives_in_for_that_instance_alone():
+    wire = Wire()
+    up(wire)
+    wire.instances["proxy_0"].choice.where = None
+    reply = play(wire, ["TURN", 2000], ["ASK", "proxy_0", 9, "read", None, 5, 3 * S * 1000], ["END"])
+    assert reply[0][:2] == ["GIVE_IN", "proxy_0"] and reply[-1] == ["FINISHED"]
