--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -462,6 +462,8 @@
             if outcome == SATISFIED:
                 self.spare = min(self.FURTHER_MOST, self.spare + self.FURTHER)
                 self.shares.answered(req.key)
+        elif outcome == OVERDUE and 2 * (write_out.until - write_out.sent) < method.latency_budget:
+            pass  # it went out late: not the node's doing, and above all not the origin's after a slow miss
         elif outcome in (ERRORED, REFUSED, SEVERED, OVERDUE):
             if not write_out.doubted:
                 self.health.failed(node, outcome in (REFUSED, SEVERED), now)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -236,3 +236,12 @@
     placement = Placement(True)
     placement.settle([Node("a"), Node("b"), Node("c", weight=0.0), Node("d")], 0)
     assert all("c" not in [node.name for node in placement.homes(key)[:2]] for key in range(100))
+
+
+def test_a_time_out_after_little_time_is_not_held_against_the_node():
+    made = choice(nodes(2))
+    asked = req()
+    node = made.where(asked, S * 8 // 10)[1]
+    before = node.window
+    made.after(asked.write_outs[0], OVERDUE, S)
+    assert node.window == before and node.failures == 0
