A time-out takes at most two off the origin's window

Cause: the origin has all that the caches miss, so at one time-out in forty by chance a halving kept its window at four to eight, always full, and in-share misses and writes were turned away there.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -262,6 +262,7 @@
     START = 12.0  # of a window: so that the least worth still has one place at a node that shows no strain
     REST = 100_000  # between write-outs, over the window, when that is below one: some answers' time
     GROWTH = 0.1  # of a small window, an answer: one time-out in seven holds it where it is
+    DROP = 2.0  # at most, off the origin's: it has what all caches miss, so chance alone often times one out
     FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
     def has(self, node: Node, part: float, now: int) -> bool:
@@ -274,8 +275,9 @@
         if node.window < self.START or 2 * node.in_flight >= node.window - 1:  # beyond: only one in use
             node.window = min(self.MOST, node.window + min(self.GROWTH * node.window, 1 / node.window))
 
-    def ran_out(self, node: Node) -> None:
-        node.window = max(self.LEAST, node.window * self.FALL)
+    def ran_out(self, node: Node, origin: bool) -> None:
+        left = node.window * self.FALL
+        node.window = max(self.LEAST, left, node.window - self.DROP if origin else 0)
 
 
 class Shares:
@@ -469,9 +471,9 @@
                 self.health.failed(node, outcome in (REFUSED, SEVERED), now)
             if outcome == OVERDUE:
                 method.times.append(spent)
-                self.room.ran_out(node)
+                self.room.ran_out(node, node.kind == self.origin_kind)
         elif outcome == FULL:
-            self.room.ran_out(node)
+            self.room.ran_out(node, node.kind == self.origin_kind)
         out = [w for w in req.write_outs if w.outcome is None]
         if outcome == SATISFIED or req.over:
             return (DONE, None, 0), out
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -245,3 +245,12 @@
     before = node.window
     made.after(asked.write_outs[0], OVERDUE, S)
     assert node.window == before and node.failures == 0
+
+
+def test_chance_time_outs_take_little_off_the_origins_window():
+    made = choice([*nodes(3), Node("origin", kind=4)], origin=4, may_duplicate=False)
+    asked = req(write=True)
+    origin = made.where(asked, 0)[1]
+    before = origin.window
+    made.after(asked.write_outs[0], OVERDUE, S)
+    assert before - 2 <= origin.window < before
