--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -261,7 +261,9 @@
     LEAST, MOST = 0.05, 64.0  # one in 2 s shows when it is better; the most bounds a fall
     START = 12.0  # of a window: so that the least worth still has one place at a node that shows no strain
     REST = 100_000  # between write-outs, over the window, when that is below one: some answers' time
-    GROWTH = 0.1  # of a small window, an answer: one time-out in seven holds it where it is
+    # Of a small window, an answer, times the answers in a row: half of them timing out hold it down, as in a
+    # jam, but not the one in eight that cold keys may bring at any load.
+    GROWTH = 0.1
     DROP = 2.0  # at most, off the origin's: it has what all caches miss, so chance alone often times one out
     FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
@@ -271,11 +273,14 @@
             return not node.in_flight and now >= node.sent + self.REST / room
         return node.in_flight < room
 
-    def answered(self, node: Node, spent: int, budget: int) -> None:
+    def answered(self, node: Node) -> None:
+        node.in_time += 1
         if node.window < self.START or 2 * node.in_flight >= node.window - 1:  # beyond: only one in use
-            node.window = min(self.MOST, node.window + min(self.GROWTH * node.window, 1 / node.window))
+            growth = min(self.GROWTH * node.in_time * node.window, 1 / node.window)
+            node.window = min(self.MOST, node.window + growth)
 
     def ran_out(self, node: Node, origin: bool) -> None:
+        node.in_time = 0
         left = node.window * self.FALL
         node.window = max(self.LEAST, left, node.window - self.DROP if origin else 0)
 
@@ -460,7 +465,7 @@
         if outcome in (SATISFIED, MISSED):
             self.health.answered(node, now)
             method.times.append(spent)
-            self.room.answered(node, spent, method.latency_budget)
+            self.room.answered(node)
             if outcome == SATISFIED:
                 self.spare = min(self.FURTHER_MOST, self.spare + self.FURTHER)
                 self.shares.answered(req.key)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -254,3 +254,12 @@
     before = origin.window
     made.after(asked.write_outs[0], OVERDUE, S)
     assert before - 2 <= origin.window < before
+
+
+def test_a_small_window_grows_faster_with_each_answer_in_a_row():
+    made = choice(nodes(1))
+    node = made.placement.slots[0]
+    node.window = 0.1
+    for _ in range(9):
+        made.room.answered(node)
+    assert node.window > 1
