--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -536,7 +536,7 @@
     def hold(self, req: Req, now: int, end: int) -> tuple:
         """Nowhere to send it now: look again soon, for a part of its time only; a quick nack costs less."""
         soon = now + 20_000  # about an answer's time
-        if soon >= req.arrived + (end - req.arrived) // 4:  # what starts later is seldom answered in time
+        if soon >= req.arrived + (end - req.arrived) // 8:  # what starts later is seldom answered in time
             return self.never(req)
         self.later(req, soon)
         return WAIT, None, 0
