--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -339,6 +339,40 @@
         return self.LEAST + (1 - self.LEAST) * below / len(self.worths)
 
 
+# --- Connections ---
+
+
+class Links:
+    """Closes idle connections early where proxies are many, so that those of all fit a node's table.
+
+    Guards against tables filled by idle connections: a node then refuses every proxy that has none.  Open
+    ones are then at most a node's reqs a second times `keep`, whatever the number of proxies.
+    """
+
+    FEW = 16  # proxies whose connections may stay as long as the nodes let them; 400 keep them 1/25 of that
+
+    def __init__(self, idle: int, proxies: int):
+        self.keep = idle * self.FEW // proxies if proxies > self.FEW else 0  # 0: for the nodes to close
+        self.idle: OrderedDict[Node, int] = OrderedDict()  # since when, oldest first
+
+    def used(self, node: Node) -> None:
+        self.idle.pop(node, None)
+
+    def freed(self, node: Node, now: int) -> None:
+        if self.keep and not node.in_flight:
+            self.idle[node] = now
+
+    def due(self, now: int) -> list[Req]:
+        """Standing reqs, one for each node whose idle connections are to be closed now."""
+        found = []
+        while self.idle and next(iter(self.idle.values())) + self.keep <= now:
+            found.append(Req(None, now, now, closing=self.idle.popitem(last=False)[0]))
+        return found
+
+    def rest(self) -> int | None:
+        return next(iter(self.idle.values())) + self.keep if self.idle else None
+
+
 # --- The choice ---
 
 
@@ -357,6 +391,7 @@
         cold: Cold,
         room: Room,
         shares: Shares,
+        links: Links,
         *,
         origin: int,
         most_write_outs: int,
@@ -366,7 +401,7 @@
         ask_within: int,
     ):
         self.rng, self.placement, self.health, self.cold = rng, placement, health, cold
-        self.room, self.shares = room, shares
+        self.room, self.shares, self.links = room, shares, links
         self.origin_kind, self.most, self.may_duplicate = origin, most_write_outs, may_duplicate
         self.come_back, self.tick = come_back, tick
         self.nodes: dict[str, Node] = {}
@@ -414,8 +449,8 @@
     # The three calls.
 
     def where(self, req: Req, now: int) -> tuple:
-        if req.list_call:
-            return GO, None, 0
+        if req.list_call or req.closing:
+            return GO, req.closing, 0
         if req.over:
             return DONE, None, 0
         end = self.end(req)
@@ -445,6 +480,7 @@
         req.write_outs.append(write_out)
         node.in_flight += 1
         node.sent = now
+        self.links.used(node)
         self.in_flight += 1
         self.cold.spent(node, self.placement.slots, now)
         if until < end or (self.may_duplicate and self.repeatable(req)):
@@ -461,6 +497,7 @@
         write_out.outcome = outcome
         node.in_flight -= 1
         self.in_flight -= 1
+        self.links.freed(node, now)
         spent = now - write_out.sent
         if outcome in (SATISFIED, MISSED):
             self.health.answered(node, now)
@@ -499,10 +536,11 @@
                 self.further.append(req)
             else:
                 self.first.append(req)
-        ready = [*self.first, *self.further]
+        ready = [*self.first, *self.further, *self.links.due(now)]
         self.first.clear()
         self.further.clear()
-        return (self.due[0][0] - now if self.due else None), ready
+        next_at = [at for at in (self.due[0][0] if self.due else None, self.links.rest()) if at is not None]
+        return (min(next_at) - now if next_at else None), ready
 
     # Time.
 
--- a/ivystack/drill/settings.py
+++ b/ivystack/drill/settings.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from ..choice import Choice, Cold, Health, Placement, Room, Shares
+from ..choice import Choice, Cold, Health, Links, Placement, Room, Shares
 from ..model import DEDUPLICATED, NON_RETRYABLE, RETRYABLE, Method, Tenant
 
 SEMANTICS = {"pure": RETRYABLE, "token": DEDUPLICATED, "side_effect": NON_RETRYABLE}
@@ -29,6 +29,7 @@
         }
         origin = specifics.get("origin_kind")
         asks = config.get("discovery") == "ask"
+        proxies = config.get("n_instances") or 1
         excess = config.get("excess_criticality")
         self.choice = Choice(
             rng,
@@ -40,8 +41,9 @@
                 rng,
                 list(self.tenants.values()),
                 1.0 if excess is None else excess,
-                config.get("n_instances") or 1,
+                proxies,
             ),
+            Links(us(limits.get("conn_idle")), proxies),
             origin=-1 if origin is None else origin,
             most_write_outs=limits.get("most_write_outs") or 1,
             may_duplicate=bool(limits.get("may_duplicate")),
--- a/ivystack/drill/wire.py
+++ b/ivystack/drill/wire.py
@@ -102,6 +102,9 @@
                 self.listing = WriteOut(req, None, 0, 0)
                 self.out.append(["WATCH", self.name, True])
             return
+        if req.closing:
+            self.out.append(["RELEASE", self.name, node.name])
+            return
         ref = self.refs.get(req)
         if word == GO:
             self.out.append(["TRANSMIT", self.name, ref, when * 1000, node.name])
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -89,6 +89,7 @@
     part: float = 1.0  # of a node's window that it may use, by its rank
     write_outs: list = field(default_factory=list)
     list_call: bool = False  # standing req: ask for the list
+    closing: Node | None = None  # standing req: close the idle connections to this node
 
 
 @dataclass(eq=False, slots=True)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -263,3 +263,14 @@
     for _ in range(9):
         made.room.answered(node)
     assert node.window > 1
+
+
+def test_idle_connections_are_closed_early_where_proxies_are_many():
+    made = choice(nodes(4), proxies=320)
+    asked = req()
+    node = made.where(asked, 0)[1]
+    made.after(asked.write_outs[0], SATISFIED, S)
+    made.due.clear()
+    assert made.wait(S) == (3 * S, [])
+    _, [closing] = made.wait(4 * S)
+    assert made.where(closing, 4 * S) == (GO, node, 0)
