A down node's trial also waits for own reqs passed by

Cause: a pause in time alone is over at the next meeting where a proxy meets a node every several seconds, so hundreds of proxies' trials are the node's usual load.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -181,6 +181,9 @@
 
     FAILED = 2  # in a row: one can be chance, and each further one costs a req its time
     PAUSE = 500_000  # before a down node's first trial; doubled a trial, up to eight times that
+    # Own reqs passed by before its first trial, doubled alike: where hundreds of proxies meet a node every
+    # several seconds each, any pause is over at the next req, and their trials would be its usual load.
+    PASSED = 2
 
     def up(self, node: Node) -> bool:
         return node.failures < self.FAILED
@@ -190,12 +193,17 @@
         ourselves)."""
         return 2 * sum(node.failures >= self.FAILED for node in slots if node.state == READY) > len(slots)
 
+    def due(self, node: Node, now: int) -> bool:
+        """A down node's pause is over, in time and in reqs passed by."""
+        return now >= node.trial_at and node.passed >= self.PASSED << min(max(node.trials - 1, 0), 3)
+
     def failed(self, node: Node, broken: bool, now: int) -> None:
         node.failures += 1
         node.broken = node.broken or broken
         if node.failures >= self.FAILED and now >= node.trial_at:
             node.trial_at = now + (self.PAUSE << min(node.trials, 3))
             node.trials += 1
+            node.passed = 0
 
     def answered(self, node: Node, now: int) -> None:
         if node.broken and node.failures >= self.FAILED:
@@ -652,10 +660,12 @@
         turn = replicas[start:] + replicas[:start]
         # Trial: a down node whose pause is over gets one retryable req of its own keys.
         for node in turn:
+            if not self.health.up(node) and now == req.arrived:
+                node.passed += 1
             if (
                 not self.health.up(node)
                 and node.state == READY
-                and now >= node.trial_at
+                and self.health.due(node, now)
                 and lone
                 and req.method.semantics == RETRYABLE
                 and not req.write_outs
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -51,6 +51,7 @@
     broken: bool = False  # one of them was a broken or refused connection
     trial_at: int = 0  # when down: not before this
     trials: int = 0  # since it went down
+    passed: int = 0  # own reqs that would have gone there since the last trial
     in_time: int = 0  # answers in a row
     window: float = 0.0  # own write-outs it bears at once
     credit: float = 0.0  # what a cold node may still be sent
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -148,6 +148,8 @@
     for _ in range(3):
         made.health.failed(node, False, 0)
     assert all(made.pick(req(), 10) is not node for _ in range(20))
+    assert made.pick(req(), S) is not node  # it was looked at long before this req came: none passed by
+    node.passed = 4
     assert made.pick(req(), S) is node
     made.health.answered(node, S)
     assert made.health.up(node)
