A node's share of our own reqs falls with its time-outs, by rank

Cause: a window in write-outs at once never binds for a proxy that meets a node every several seconds, so hundreds of light proxies kept full nodes full. The share is relative to own traffic: no number of proxies enters.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -275,7 +275,12 @@
     DROP = 2.0  # at most, off the origin's: it has what all caches miss, so chance alone often times one out
     FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
+    # Back with an answer: a share settles where one in three runs out of time at half, one in two at a fifth.
+    BACK = 0.1
+
     def has(self, node: Node, part: float, now: int) -> bool:
+        if part < 1 - node.share:
+            return False
         room = part * node.window
         if room < 1:  # below one write-out at a time, one after a rest
             return not node.in_flight and now >= node.sent + self.REST / room
@@ -283,12 +288,14 @@
 
     def answered(self, node: Node) -> None:
         node.in_time += 1
+        node.share = min(1.0, node.share + self.BACK)
         if node.window < self.START or 2 * node.in_flight >= node.window - 1:  # beyond: only one in use
             growth = min(self.GROWTH * node.in_time * node.window, 1 / node.window)
             node.window = min(self.MOST, node.window + growth)
 
     def ran_out(self, node: Node, origin: bool) -> None:
         node.in_time = 0
+        node.share *= self.FALL
         left = node.window * self.FALL
         node.window = max(self.LEAST, left, node.window - self.DROP if origin else 0)
 
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -54,6 +54,7 @@
     passed: int = 0  # own reqs that would have gone there since the last trial
     in_time: int = 0  # answers in a row
     window: float = 0.0  # own write-outs it bears at once
+    share: float = 1.0  # of the reqs that would go there: those of highest rank
     credit: float = 0.0  # what a cold node may still be sent
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -276,3 +276,13 @@
     assert made.wait(S) == (3 * S, [])
     _, [closing] = made.wait(4 * S)
     assert made.where(closing, 4 * S) == (GO, node, 0)
+
+
+def test_a_time_out_halves_the_share_of_own_reqs_and_the_higher_ranked_stay():
+    made = choice(nodes(2))
+    node = made.placement.slots[0]
+    made.room.ran_out(node, False)
+    assert made.room.has(node, 0.6, 0) and not made.room.has(node, 0.4, 0)
+    for _ in range(5):
+        made.room.answered(node)
+    assert made.room.has(node, 0.1, 0)
