--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -285,4 +285,4 @@
     assert made.room.has(node, 0.6, 0) and not made.room.has(node, 0.4, 0)
     for _ in range(5):
         made.room.answered(node)
-    assert made.room.has(node, 0.1, 0)
+    assert made.room.has(node, 0.2, 0)
