A hot key gets more replicas, by its share of our own last reqs

Cause: with sixty caches a key of some percent of all traffic is several caches' load on its two (the design's soft spot: it cannot spread further). The same walk with a greater k leaves its first homes where they are.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -15,6 +15,7 @@
 import heapq
 from collections import OrderedDict, deque
 from hashlib import blake2b
+from math import ceil
 from random import Random
 
 from .model import (  # fmt: skip
@@ -123,7 +124,7 @@
     def __init__(self, sized: bool):
         self.sized = sized
         self.slots: list[Node] = []
-        self.known: OrderedDict[int, list[Node]] = OrderedDict()
+        self.known: OrderedDict[tuple[int, int], list[Node]] = OrderedDict()
 
     def settle(self, nodes: list[Node], now: int) -> None:
         """Brings the slots in line with the list: freed slots go to the last slot's cache, new caches go
@@ -144,15 +145,19 @@
         if self.slots != before:
             self.known.clear()
 
-    def homes(self, key: int) -> list[Node]:
-        """The key's replicas in order, and last its spare."""
-        nodes = self.known.get(key)
+    def homes(self, key: int, k: int) -> list[Node]:
+        """The key's k replicas in order, and last its spare.
+
+        A greater k leaves replicas where they are, but for the first slots: the walk is the same, with more
+        of the digits counting.
+        """
+        nodes = self.known.get((key, k))
         if nodes is None:
             found = draws(key, len(self.slots))
             if self.sized:
                 found = self.sized_digits(found)
-            nodes = [self.slots[slot] for slot in spots(found, self.K)[: self.MOST]]
-            self.known[key] = nodes
+            nodes = [self.slots[slot] for slot in spots(found, k)[: max(k, self.MOST)]]
+            self.known[key, k] = nodes
             if len(self.known) > self.KEPT:
                 self.known.popitem(last=False)
         return nodes
@@ -173,6 +178,26 @@
         return quasi
 
 
+class Popular:
+    """More replicas for a key that is hotter than its caches can bear: the design's soft spot.
+
+    With many caches one key of some percent of the traffic is several caches' load.  Own reqs show it.
+    """
+
+    KEPT = 64  # last keys: a key of a twentieth of the traffic shows thrice; a light proxy's last 15 s or so
+    EACH = 0.5  # of a cache's mean load is what a key may add to one replica, as far as there are more
+
+    def __init__(self):
+        self.last: deque[int | None] = deque(maxlen=self.KEPT)
+
+    def replicas(self, key: int | None, k: int, slots: int) -> int:
+        """How many a key is given, at least k; the req itself does not count, so a key seen once gets k."""
+        if not self.last:
+            return k
+        loads = (self.last.count(key) - 1) / len(self.last) * slots
+        return max(k, min(slots, ceil(loads / self.EACH)))
+
+
 # --- Health: failures in a row, own evidence only ---
 
 
@@ -417,6 +442,7 @@
     ):
         self.rng, self.placement, self.health, self.cold = rng, placement, health, cold
         self.room, self.shares, self.links = room, shares, links
+        self.popular = Popular()
         self.origin_kind, self.most, self.may_duplicate = origin, most_write_outs, may_duplicate
         self.come_back, self.tick = come_back, tick
         self.nodes: dict[str, Node] = {}
@@ -472,6 +498,7 @@
         out = [w for w in req.write_outs if w.outcome is None]
         if not req.ranked:
             req.ranked = True
+            self.popular.last.append(req.key)
             req.part = self.shares.part_of_window(req, now)
         if now >= end or len(req.write_outs) >= self.most:
             return (WAIT, None, 0) if out else self.never(req)
@@ -647,8 +674,11 @@
         slots = self.placement.slots
         if not slots:
             return None
-        homes = self.placement.homes(req.key if req.key is not None else self.rng.getrandbits(50))
-        replicas = homes[: self.placement.K]
+        k = self.placement.K
+        if req.key is not None:
+            k = self.popular.replicas(req.key, k, len(slots))
+        homes = self.placement.homes(req.key if req.key is not None else self.rng.getrandbits(50), k)
+        replicas = homes[:k]
         tried = [w.node for w in req.write_outs if w.outcome not in (FULL, SUPERSEDED)]
         doubtful = self.health.doubtful(slots)
         lone = not self.may_have_run(req)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -60,14 +60,14 @@
 def test_weights_give_shares_in_proportion():
     placement = Placement(True)
     placement.settle([Node(f"n{i}", weight=1.0 if i < 6 else 2.0) for i in range(9)], 0)
-    shares = Counter(node.name for key in range(8000) for node in placement.homes(key)[:2])
+    shares = Counter(node.name for key in range(8000) for node in placement.homes(key, 2)[:2])
     assert 1.7 < shares["n8"] / shares["n4"] < 2.3
 
 
 def test_a_weight_due_more_than_every_key_takes_every_key_once():
     placement = Placement(True)
     placement.settle([Node("a"), Node("b"), Node("c", weight=50.0)], 0)
-    assert all("c" in [node.name for node in placement.homes(key)[:2]] for key in range(200))
+    assert all("c" in [node.name for node in placement.homes(key, 2)[:2]] for key in range(200))
 
 
 def test_drained_cache_gives_its_slot_to_the_last():
@@ -91,7 +91,7 @@
 
 def test_a_pick_skips_a_loaded_replica():
     made = choice(nodes(6))
-    homes = made.placement.homes(7)
+    homes = made.placement.homes(7, 2)
     homes[0].in_flight = made.in_flight = 9
     assert all(made.pick(req(), 0) is homes[1] for _ in range(20))
 
@@ -144,7 +144,7 @@
 
 def test_failures_in_a_row_take_a_node_out_and_an_answer_brings_it_back():
     made = choice(nodes(6))
-    node = made.placement.homes(7)[0]
+    node = made.placement.homes(7, 2)[0]
     for _ in range(3):
         made.health.failed(node, False, 0)
     assert all(made.pick(req(), 10) is not node for _ in range(20))
@@ -237,7 +237,7 @@
 def test_zero_weights_hold_no_keys_but_the_first():
     placement = Placement(True)
     placement.settle([Node("a"), Node("b"), Node("c", weight=0.0), Node("d")], 0)
-    assert all("c" not in [node.name for node in placement.homes(key)[:2]] for key in range(100))
+    assert all("c" not in [node.name for node in placement.homes(key, 2)[:2]] for key in range(100))
 
 
 def test_a_time_out_after_little_time_is_not_held_against_the_node():
@@ -286,3 +286,12 @@
     for _ in range(5):
         made.room.answered(node)
     assert made.room.has(node, 0.2, 0)
+
+
+def test_a_hot_key_gets_more_replicas_and_keeps_the_first_ones():
+    made = choice(nodes(60))
+    for number in range(64):
+        made.popular.last.append(7 if number % 8 == 0 else number + 100)
+    assert made.popular.replicas(7, 2, 60) == 14 and made.popular.replicas(101, 2, 60) == 2
+    few, many = made.placement.homes(7, 2)[:2], made.placement.homes(7, 14)
+    assert set(few) <= set(many[:14]) and len({made.pick(req(), 0) for _ in range(300)}) == 14
