A common share of our own reqs falls with time-outs at nodes that are up

Cause: a light proxy meets each of sixty nodes too seldom to learn of a whole fleet's jam node by node. First reqs after a start rank high.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -300,11 +300,18 @@
     DROP = 2.0  # at most, off the origin's: it has what all caches miss, so chance alone often times one out
     FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
+    # Of the common share: one in six out of time, some failing nodes' part, leaves all; one in two a fifth.
+    FALL_ALL, BACK_ALL = 0.8, 0.04
     # Back with an answer: a share settles where one in three runs out of time at half, one in two at a fifth.
     BACK = 0.1
 
+    def __init__(self):
+        # Of our reqs that may go out at all.  Guards against the jam of a whole fleet before a light proxy,
+        # which meets each node too seldom to learn of it node by node.
+        self.common = 1.0
+
     def has(self, node: Node, part: float, now: int) -> bool:
-        if part < 1 - node.share:
+        if part < 1 - min(node.share, self.common):
             return False
         room = part * node.window
         if room < 1:  # below one write-out at a time, one after a rest
@@ -314,13 +321,16 @@
     def answered(self, node: Node) -> None:
         node.in_time += 1
         node.share = min(1.0, node.share + self.BACK)
+        self.common = min(1.0, self.common + self.BACK_ALL)
         if node.window < self.START or 2 * node.in_flight >= node.window - 1:  # beyond: only one in use
             growth = min(self.GROWTH * node.in_time * node.window, 1 / node.window)
             node.window = min(self.MOST, node.window + growth)
 
-    def ran_out(self, node: Node, origin: bool) -> None:
+    def ran_out(self, node: Node, origin: bool, up: bool) -> None:
         node.in_time = 0
         node.share *= self.FALL
+        if up:  # further failures in a row are the node's own
+            self.common *= self.FALL_ALL
         left = node.window * self.FALL
         node.window = max(self.LEAST, left, node.window - self.DROP if origin else 0)
 
@@ -333,6 +343,7 @@
 
     KEPT = 200  # last reqs to be ranked among: a second or so of a busy proxy's
     LEAST = 0.1  # of a window, for the least worth
+    NEW = 4  # reqs below each by assumption: the first after a start has nothing to be ranked among, and goes
     KEYS = 1000  # last answered ones that a cache will mostly still hold
     MISS = 0.2  # of its worth for the rest: a miss costs the origin, and holds a place while it is fetched
 
@@ -376,7 +387,7 @@
         worth *= 1 + 0.01 * self.rng.random()  # equals are parted by chance
         self.worths.append(worth)
         below = sum(other < worth for other in self.worths)
-        return self.LEAST + (1 - self.LEAST) * below / len(self.worths)
+        return self.LEAST + (1 - self.LEAST) * (below + self.NEW) / (len(self.worths) + self.NEW)
 
 
 # --- Connections ---
@@ -555,9 +566,9 @@
                 self.health.failed(node, outcome in (REFUSED, SEVERED), now)
             if outcome == OVERDUE:
                 method.times.append(spent)
-                self.room.ran_out(node, node.kind == self.origin_kind)
+                self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node))
         elif outcome == FULL:
-            self.room.ran_out(node, node.kind == self.origin_kind)
+            self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node))
         out = [w for w in req.write_outs if w.outcome is None]
         if outcome == SATISFIED or req.over:
             return (DONE, None, 0), out
