--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -722,13 +722,7 @@
                 return node
         fit = [node for node in turn if able(node)]
         if not fit:
-            # Both replicas are out of reach: the spare, then whichever replica is still listed.
-            fit = [node for node in homes if able(node)] or [
-                node
-                for node in homes
-                if node.state == READY and self.room.has(node, req.part, now) and self.within_group(req, node)
-                and self.cold.allows(node, slots, now)
-            ]
+            fit = [node for node in homes if able(node)]  # both replicas are out of reach: the spare
         bound = max(self.FLOOR, self.SKIP * self.in_flight / len(slots))
         for node in fit:
             if node.in_flight <= bound:
