--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -213,11 +213,6 @@
     def up(self, node: Node) -> bool:
         return node.failures < self.FAILED
 
-    def doubtful(self, slots: list[Node]) -> bool:
-        """Most of the fleet looks down: then the cause is behind it (the origin, the network, we
-        ourselves)."""
-        return 2 * sum(node.failures >= self.FAILED for node in slots if node.state == READY) > len(slots)
-
     def due(self, node: Node, now: int) -> bool:
         """A down node's pause is over, in time and in reqs passed by."""
         return now >= node.trial_at and node.passed >= self.PASSED << min(max(node.trials - 1, 0), 3)
@@ -691,7 +686,6 @@
         homes = self.placement.homes(req.key if req.key is not None else self.rng.getrandbits(50), k)
         replicas = homes[:k]
         tried = [w.node for w in req.write_outs if w.outcome not in (FULL, SUPERSEDED)]
-        doubtful = self.health.doubtful(slots)
         lone = not self.may_have_run(req)
 
         def able(node: Node) -> bool:
@@ -700,7 +694,7 @@
                 and node.state == READY
                 and node not in tried
                 and self.within_group(req, node)
-                and (doubtful or self.health.up(node))
+                and self.health.up(node)
                 and self.cold.allows(node, slots, now)
             )
 
