Cold nodes take their warmth's part of the reqs, by each req's one draw; no credit

Cause: credit earned by own write-outs needs hundreds of them before a cold node gets its first, so light proxies sent it nothing and it stayed cold; one at a time when all are cold multiplies by the proxies.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -228,7 +228,6 @@
     def answered(self, node: Node, now: int) -> None:
         if node.broken and node.failures >= self.FAILED:
             node.started = now  # its process was gone, so it is back cold, though the list may not say so yet
-            node.credit = 0.0
         node.broken = False
         if node.failures >= self.FAILED:
             node.failures = self.FAILED - 1  # on trial still: one that fails now and then is out at once
@@ -236,11 +235,15 @@
             node.failures, node.trials, node.trial_at = 0, 0, 0
 
 
-# --- Cold nodes: a budget in proportion to what the warm ones are sent ---
+# --- Cold nodes: they take part of their keys' reqs, by chance ---
 
 
 class Cold:
-    MOST = 2.0  # credit kept at most: two reqs are no burst
+    """A cold node is open to the part of its reqs that it can be counted on for, whoever sends them.
+
+    Guards against pushing it over: each req draws its luck once, so the loads of all proxies together are
+    that part of the node's usual load, however many they are and whatever they know; nothing is saved up.
+    """
 
     def __init__(self, cold_share: float, cold: int):
         self.share, self.cold = cold_share, cold
@@ -251,29 +254,8 @@
             return 1.0
         return min(1.0, self.share + (1 - self.share) * max(0, now - node.started) / self.cold)
 
-    def spent(self, node: Node, slots: list[Node], now: int) -> None:
-        """A write-out went to node: a cold one pays for it, a warm one earns the cold ones their part of
-        it."""
-        cold = [(other, warmth) for other in slots if (warmth := self.warmth(other, now)) < 1]
-        if not cold:
-            return
-        if self.warmth(node, now) < 1:
-            node.credit -= 1
-            return
-        warm = sum(other.weight for other in slots if other.state == READY) - sum(
-            other.weight for other, _ in cold
-        )
-        for other, warmth in cold:
-            part = other.weight / (max(warm, other.weight) or 1)
-            other.credit = min(self.MOST, other.credit + warmth * part)
-
-    def allows(self, node: Node, slots: list[Node], now: int) -> bool:
-        if self.warmth(node, now) >= 1 or node.credit >= 1:
-            return True
-        # With no warm node to measure by, one at a time: what is sent then never outruns what is answered.
-        return node.in_flight == 0 and all(
-            self.warmth(other, now) < 1 for other in slots if other.state == READY
-        )
+    def allows(self, node: Node, luck: float, now: int) -> bool:
+        return luck < self.warmth(node, now)
 
 
 # --- Sharing under pressure ---
@@ -476,7 +458,7 @@
             )
             if node is not new:
                 if new.started != node.started and new.state == READY and new.started > node.started:
-                    node.started, node.credit, node.failures, node.trials = new.started, 0.0, 0, 0
+                    node.started, node.failures, node.trials = new.started, 0, 0
                 node.zone, node.cell, node.state = new.zone, new.cell, new.state
             if node.state == LEFT:
                 node.left_at = now
@@ -503,7 +485,7 @@
         end = self.end(req)
         out = [w for w in req.write_outs if w.outcome is None]
         if not req.ranked:
-            req.ranked = True
+            req.ranked, req.luck = True, self.rng.random()
             self.popular.last.append(req.key)
             req.part = self.shares.part_of_window(req, now)
         if now >= end or len(req.write_outs) >= self.most:
@@ -530,7 +512,6 @@
         node.sent = now
         self.links.used(node)
         self.in_flight += 1
-        self.cold.spent(node, self.placement.slots, now)
         if until < end or (self.may_duplicate and self.repeatable(req)):
             self.later(req, now + self.patience(req.method, end - now, write_out.trial))
         return GO, node, until
@@ -695,7 +676,7 @@
                 and node not in tried
                 and self.within_group(req, node)
                 and self.health.up(node)
-                and self.cold.allows(node, slots, now)
+                and self.cold.allows(node, req.luck, now)
             )
 
         start = self.rng.randrange(len(replicas))
@@ -711,7 +692,7 @@
                 and lone
                 and req.method.semantics == RETRYABLE
                 and not req.write_outs
-                and self.cold.allows(node, slots, now)
+                and self.cold.allows(node, req.luck, now)
             ):
                 return node
         fit = [node for node in turn if able(node)]
