--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -278,9 +278,11 @@
     FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
     # Of the common share: one in six out of time, some failing nodes' part, leaves all; one in two a fifth.
-    FALL_ALL, BACK_ALL = 0.8, 0.04
+    FALL_ALL, BACK_ALL = 0.8, 0.02
     # Back with an answer: a share settles where one in three runs out of time at half, one in two at a fifth.
-    BACK = 0.1
+    BACK = 0.15
+
+    FRESH = 500_000  # what the node itself showed this lately goes before what all show: some answers' time
 
     def __init__(self):
         # Of our reqs that may go out at all.  Guards against the jam of a whole fleet before a light proxy,
@@ -288,7 +290,8 @@
         self.common = 1.0
 
     def has(self, node: Node, part: float, now: int) -> bool:
-        if part < 1 - min(node.share, self.common):
+        heard = now < node.heard + self.FRESH
+        if part < 1 - (node.share if heard else min(node.share, self.common)):
             return False
         room = part * node.window
         if room < 1:  # below one write-out at a time, one after a rest
@@ -528,6 +531,7 @@
         self.in_flight -= 1
         self.links.freed(node, now)
         spent = now - write_out.sent
+        node.heard = now
         if outcome in (SATISFIED, MISSED):
             self.health.answered(node, now)
             method.times.append(spent)
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -52,6 +52,7 @@
     trial_at: int = 0  # when down: not before this
     trials: int = 0  # since it went down
     passed: int = 0  # own reqs that would have gone there since the last trial
+    heard: int = -1_000_000_000  # when a write-out there last ended
     in_time: int = 0  # answers in a row
     window: float = 0.0  # own write-outs it bears at once
     share: float = 1.0  # of the reqs that would go there: those of highest rank
