--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -185,7 +185,7 @@
     """
 
     KEPT = 64  # last keys: a key of a twentieth of the traffic shows thrice; a light proxy's last 15 s or so
-    EACH = 0.5  # of a cache's mean load is what a key may add to one replica, as far as there are more
+    EACH = 0.33  # of a cache's mean load is what a key may add to a replica: half, quarter tried
 
     def __init__(self):
         self.last: deque[int | None] = deque(maxlen=self.KEPT)
