Proxies that may talk tell six peers a second how their write-outs ended

Cause: at signing a light proxy meets a node every 15 s or so and learns of full, hung and gone nodes one by one. A message moves the node's share of our reqs as one write-out of our own would; failures in a row stay our own, nothing waits for a message, a node known from peers alone is never sent to.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -19,30 +19,8 @@
 from random import Random
 
 from .model import (  # fmt: skip
-    CLIENT_GONE,
-    DEDUPLICATED,
-    DONE,
-    ERRORED,
-    FAIL,
-    FULL,
-    GO,
-    LEFT,
-    MISSED,
-    NACK,
-    NON_RETRYABLE,
-    OVERDUE,
-    READY,
-    REFUSED,
-    RETRYABLE,
-    SATISFIED,
-    SEVERED,
-    SUPERSEDED,
-    WAIT,
-    Method,
-    Node,
-    Req,
-    Tenant,
-    WriteOut,
+    CLIENT_GONE, DEDUPLICATED, DONE, ERRORED, FAIL, FULL, GO, LEFT, MISSED, NACK, NON_RETRYABLE, OVERDUE, READY,
+    RECALLED, REFUSED, RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, WAIT, Method, Node, Req, Tenant, WriteOut,
 )
 
 NEVER_RAN = {FULL, REFUSED, SUPERSEDED, MISSED}  # the wire page: these endings prove it
@@ -300,15 +278,18 @@
 
     def answered(self, node: Node) -> None:
         node.in_time += 1
-        node.share = min(1.0, node.share + self.BACK)
+        self.told(node, True)
         self.common = min(1.0, self.common + self.BACK_ALL)
         if node.window < self.START or 2 * node.in_flight >= node.window - 1:  # beyond: only one in use
             growth = min(self.GROWTH * node.in_time * node.window, 1 / node.window)
             node.window = min(self.MOST, node.window + growth)
 
+    def told(self, node: Node, well: bool) -> None:
+        node.share = min(1.0, node.share + self.BACK) if well else node.share * self.FALL
+
     def ran_out(self, node: Node, origin: bool, up: bool) -> None:
         node.in_time = 0
-        node.share *= self.FALL
+        self.told(node, False)
         if up:  # further failures in a row are the node's own
             self.common *= self.FALL_ALL
         left = node.window * self.FALL
@@ -404,6 +385,54 @@
         return next(iter(self.idle.values())) + self.keep if self.idle else None
 
 
+# --- Hearsay: what other proxies saw, where they may talk ---
+
+
+class Hearsay:
+    """Tells some peers now and then how our last write-outs to each node ended, and takes in what they tell.
+
+    Guards against learning of a full or hung node by hundreds of proxies one by one.  It moves only a known
+    node's share of our reqs, as one write-out of ours would, so a lost, late, repeated or wrong message does
+    little; failures in a row stay our own.
+    """
+
+    EVERY = 1_000_000  # a message: a light proxy has a few endings to tell by then
+    TO = 6  # peers each, drawn anew: everyone then hears of several times the endings of its own
+    SIZE = 4  # bytes an ending: three of the node's name, hashed, and how it ended
+
+    def __init__(self, rng: Random, me: int, proxies: int):
+        self.rng, self.others = rng, [peer for peer in range(proxies) if peer != me]
+        self.ended: dict[Node, bool] = {}
+        self.marked: dict[bytes, Node] = {}
+        self.next_at: int | None = None
+
+    def note(self, node: Node, well: bool, now: int) -> None:
+        if self.others:
+            self.ended[node] = well
+            if self.next_at is None:
+                self.next_at = now + self.EVERY // 2 + self.rng.randrange(self.EVERY)
+
+    def due(self, now: int) -> list[Req]:
+        """Standing reqs, one for each message to be sent now."""
+        if self.next_at is None or now < self.next_at:
+            return []
+        self.next_at = None
+        words = b"".join(self.mark(node) + bytes([well]) for node, well in [*self.ended.items()][-64:])
+        self.ended.clear()
+        peers = self.rng.sample(self.others, min(self.TO, len(self.others)))
+        return [Req(None, now, now, saying=(peer, words)) for peer in peers]
+
+    def mark(self, node: Node) -> bytes:
+        return blake2b(node.name.encode(), digest_size=self.SIZE - 1).digest()
+
+    def knows(self, nodes: list[Node]) -> None:
+        self.marked.update((self.mark(node), node) for node in nodes)
+
+    def told(self, words: bytes) -> list[tuple[Node, bool]]:
+        parts = [words[at : at + self.SIZE] for at in range(0, len(words), self.SIZE)]
+        return [(self.marked[part[:-1]], part[-1] == 1) for part in parts if part[:-1] in self.marked]
+
+
 # --- The choice ---
 
 
@@ -423,6 +452,7 @@
         room: Room,
         shares: Shares,
         links: Links,
+        hearsay: Hearsay | None = None,
         *,
         origin: int,
         most_write_outs: int,
@@ -432,7 +462,7 @@
         ask_within: int,
     ):
         self.rng, self.placement, self.health, self.cold = rng, placement, health, cold
-        self.room, self.shares, self.links = room, shares, links
+        self.room, self.shares, self.links, self.hearsay = room, shares, links, hearsay
         self.popular = Popular()
         self.origin_kind, self.most, self.may_duplicate = origin, most_write_outs, may_duplicate
         self.come_back, self.tick = come_back, tick
@@ -477,11 +507,18 @@
             node for node in self.nodes.values() if node.kind == self.origin_kind and node.state == READY
         ]
         self.placement.settle(caches, now)
+        if self.hearsay:
+            self.hearsay.knows(nodes)
+
+    def told(self, words: bytes, now: int) -> None:
+        """A peer's message: news like the list's."""
+        for node, well in self.hearsay.told(words) if self.hearsay else []:
+            self.room.told(node, well)
 
     # The three calls.
 
     def where(self, req: Req, now: int) -> tuple:
-        if req.list_call or req.closing:
+        if req.list_call or req.closing or req.saying:
             return GO, req.closing, 0
         if req.over:
             return DONE, None, 0
@@ -549,6 +586,8 @@
                 self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node))
         elif outcome == FULL:
             self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node))
+        if self.hearsay and outcome not in (RECALLED, SUPERSEDED):
+            self.hearsay.note(node, outcome in (SATISFIED, MISSED), now)
         out = [w for w in req.write_outs if w.outcome is None]
         if outcome == SATISFIED or req.over:
             return (DONE, None, 0), out
@@ -570,9 +609,13 @@
             else:
                 self.first.append(req)
         ready = [*self.first, *self.further, *self.links.due(now)]
+        if self.hearsay:
+            ready += self.hearsay.due(now)
         self.first.clear()
         self.further.clear()
-        next_at = [at for at in (self.due[0][0] if self.due else None, self.links.rest()) if at is not None]
+        next_at = [self.due[0][0] if self.due else None, self.links.rest()]
+        next_at += [self.hearsay.next_at] if self.hearsay else []
+        next_at = [at for at in next_at if at is not None]
         return (min(next_at) - now if next_at else None), ready
 
     # Time.
--- a/ivystack/drill/settings.py
+++ b/ivystack/drill/settings.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from ..choice import Choice, Cold, Health, Links, Placement, Room, Shares
+from ..choice import Choice, Cold, Health, Hearsay, Links, Placement, Room, Shares
 from ..model import DEDUPLICATED, NON_RETRYABLE, RETRYABLE, Method, Tenant
 
 SEMANTICS = {"pure": RETRYABLE, "token": DEDUPLICATED, "side_effect": NON_RETRYABLE}
@@ -44,6 +44,7 @@
                 proxies,
             ),
             Links(us(limits.get("conn_idle")), proxies),
+            Hearsay(rng, config.get("slot_no") or 0, proxies) if limits.get("peers") else None,
             origin=-1 if origin is None else origin,
             most_write_outs=limits.get("most_write_outs") or 1,
             may_duplicate=bool(limits.get("may_duplicate")),
--- a/ivystack/drill/wire.py
+++ b/ivystack/drill/wire.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from base64 import b64decode, b64encode
+
 import orjson
 
 from ..model import (
@@ -102,6 +104,10 @@
                 self.listing = WriteOut(req, None, 0, 0)
                 self.out.append(["WATCH", self.name, True])
             return
+        if req.saying:
+            peer, words = req.saying
+            self.out.append(["ANNOUNCE", self.name, peer, b64encode(words).decode()])
+            return
         if req.closing:
             self.out.append(["RELEASE", self.name, node.name])
             return
@@ -250,7 +256,9 @@
             instance.listed(self.now, [] if how == "X" else self.sheets[sheet], how)
         elif name == "CANCELLED_BY_CLIENT":
             instance.client_gone(self.now, *values)
-        elif name not in ("TIMER", "CHECKED", "INBOX", "BEGUN"):
+        elif name == "INBOX":
+            decided(instance.choice.told, b64decode(values[1]), self.now)
+        elif name not in ("TIMER", "CHECKED", "BEGUN"):
             raise BadLineError(f"no such event: {name}")
 
     def end(self) -> bytes:
