--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -19,8 +19,9 @@
 from random import Random
 
 from .model import (  # fmt: skip
-    CLIENT_GONE, DEDUPLICATED, DONE, ERRORED, FAIL, FULL, GO, LEFT, MISSED, NACK, NON_RETRYABLE, OVERDUE, READY,
-    RECALLED, REFUSED, RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, WAIT, Method, Node, Req, Tenant, WriteOut,
+    CLIENT_GONE, DEDUPLICATED, DONE, ERRORED, FAIL, FULL, GO, LEFT, MISSED, NACK, NON_RETRYABLE, OVERDUE,
+    READY, RECALLED, REFUSED, RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, WAIT,
+    Method, Node, Req, Tenant, WriteOut,
 )
 
 NEVER_RAN = {FULL, REFUSED, SUPERSEDED, MISSED}  # the wire page: these endings prove it
@@ -397,7 +398,7 @@
     """
 
     EVERY = 1_000_000  # a message: a light proxy has a few endings to tell by then
-    TO = 6  # peers each, drawn anew: everyone then hears of several times the endings of its own
+    TO = 8  # peers each, drawn anew: everyone then hears of several times the endings of its own
     SIZE = 4  # bytes an ending: three of the node's name, hashed, and how it ended
 
     def __init__(self, rng: Random, me: int, proxies: int):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from ivystack.choice import Choice, Cold, Health, Links, Placement, Room, Shares
+from ivystack.choice import Choice, Cold, Health, Hearsay, Links, Placement, Room, Shares
 from ivystack.model import RETRYABLE, Method, Node, Req
 
 S = 1_000_000
@@ -12,7 +12,9 @@
     return [Node(f"n{i:02}", **more) for i in range(count)]
 
 
-def choice(listed=(), *, tenants=(), cold_share=1.0, cold=0, sized=False, now=0, proxies=1, **more):
+def choice(
+    listed=(), *, tenants=(), cold_share=1.0, cold=0, sized=False, now=0, proxies=1, peers=False, **more
+):
     rng = Random(1)
     given = dict(
         origin=-1, most_write_outs=3, may_duplicate=True, come_back=0, tick=0, ask_within=0
@@ -25,6 +27,7 @@
         Room(),
         Shares(rng, list(tenants), 0.1, proxies),
         Links(60 * S, proxies),
+        Hearsay(rng, 0, proxies) if peers else None,
         **(given | more),
     )
     made.listed(list(listed), True, now)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -298,3 +298,17 @@
     few, many = made.placement.homes(7, 2)[:2], made.placement.homes(7, 20)[:20]
     assert all(node in many or made.placement.slots.index(node) < 20 for node in few)
     assert len({made.pick(req(), 0) for _ in range(600)}) == 20
+
+
+def test_peers_words_move_the_share_of_a_known_node_only():
+    one, other = choice(nodes(4), proxies=3, peers=True), choice(nodes(4), proxies=3, peers=True)
+    asked = req(give_up=S)
+    node = one.where(asked, 0)[1]
+    one.after(asked.write_outs[0], OVERDUE, S)
+    one.due.clear()
+    said = [r.saying for r in one.wait(3 * S)[1] if r.saying]
+    assert sorted(peer for peer, _ in said) == [1, 2]
+    for words in (said[0][1], b"abc\0", b"no", b""):  # the last three: nothing known, nothing whole
+        other.told(words, 3 * S)
+    assert {n.name for n in other.placement.slots if n.share < 1} == {node.name}
+    assert not any(n.failures for n in other.placement.slots)
