--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -581,7 +581,7 @@
             pass  # it went out late: not the node's doing, and above all not the origin's after a slow miss
         elif outcome == ERRORED and 2 * spent >= method.latency_budget:
             # Slow errors are fetches that ran out of time: not the node but the origin behind all is pressed.
-            self.room.ran_out(node, False, True)
+            self.room.common *= self.room.FALL_ALL
         elif outcome in (ERRORED, REFUSED, SEVERED, OVERDUE):
             if not write_out.doubted:
                 self.health.failed(node, outcome in (REFUSED, SEVERED), now)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -312,3 +312,15 @@
         other.told(words, 3 * S)
     assert {n.name for n in other.placement.slots if n.share < 1} == {node.name}
     assert not any(n.failures for n in other.placement.slots)
+
+
+def test_a_slow_error_is_pressure_and_a_quick_one_the_nodes_failure():
+    made = choice(nodes(4))
+    quick, slow = req(), req()
+    made.where(quick, 0)
+    made.after(quick.write_outs[0], ERRORED, S // 10)
+    assert quick.write_outs[0].node.failures == 1 and made.room.common == 1
+    made.where(slow, 0)
+    before = slow.write_outs[0].node.failures
+    made.after(slow.write_outs[0], ERRORED, S * 6 // 10)
+    assert slow.write_outs[0].node.failures == before and made.room.common < 1
