What is beyond a tenant's share goes only to nodes without strain

Cause: at abrechnung one tenant sends three times its share; its excess, worth a twentieth, filled the nodes until write-outs of all tenants ran out of time.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -261,6 +261,7 @@
     # Back with an answer: a share settles where one in three runs out of time at half, one in two at a fifth.
     BACK = 0.15
 
+    CALM = 0.95  # what is beyond a tenant's share goes only where hardly anything ran out of time lately
     FRESH = 500_000  # what the node itself showed this lately goes before what all show: some answers' time
 
     def __init__(self):
@@ -268,9 +269,10 @@
         # which meets each node too seldom to learn of it node by node.
         self.common = 1.0
 
-    def has(self, node: Node, part: float, now: int) -> bool:
+    def has(self, node: Node, part: float, now: int, beyond: bool = False) -> bool:
         heard = now < node.heard + self.FRESH
-        if part < 1 - (node.share if heard else min(node.share, self.common)):
+        share = node.share if heard else min(node.share, self.common)
+        if part < 1 - share or (beyond and share < self.CALM):
             return False
         room = part * node.window
         if room < 1:  # below one write-out at a time, one after a rest
@@ -344,6 +346,7 @@
             req.tenant.arrivals.append(now)
             if self.rng.random() > self.within(req.tenant, now):
                 worth *= self.excess
+                req.beyond = True
         if req.key not in self.seen:
             worth *= self.MISS
         worth *= 1 + 0.01 * self.rng.random()  # equals are parted by chance
@@ -722,7 +725,7 @@
 
         def able(node: Node) -> bool:
             return (
-                self.room.has(node, req.part, now)
+                self.room.has(node, req.part, now, req.beyond)
                 and node.state == READY
                 and node not in tried
                 and self.within_group(req, node)
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -89,6 +89,7 @@
     over: bool = False  # concluded, by whom ever
     ranked: bool = False
     part: float = 1.0  # of a node's window that it may use, by its rank
+    beyond: bool = False  # beyond its tenant's share
     luck: float = 0.0  # drawn once: a node as warm as this may take it
     write_outs: list = field(default_factory=list)
     list_call: bool = False  # standing req: ask for the list
