Tenants' shares from one window of last reqs; excess yields to strain by its worth

Cause: a tenant's rate needed eight arrivals of its own, so a middling proxy saw its largest tenants alone and took them for excess.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -261,7 +261,6 @@
     # Back with an answer: a share settles where one in three runs out of time at half, one in two at a fifth.
     BACK = 0.15
 
-    CALM = 0.95  # what is beyond a tenant's share goes only where hardly anything ran out of time lately
     FRESH = 500_000  # what the node itself showed this lately goes before what all show: some answers' time
 
     def __init__(self):
@@ -269,10 +268,10 @@
         # which meets each node too seldom to learn of it node by node.
         self.common = 1.0
 
-    def has(self, node: Node, part: float, now: int, beyond: bool = False) -> bool:
+    def has(self, node: Node, part: float, now: int, calm: float = 0.0) -> bool:
         heard = now < node.heard + self.FRESH
         share = node.share if heard else min(node.share, self.common)
-        if part < 1 - share or (beyond and share < self.CALM):
+        if share < max(1 - part, calm):
             return False
         room = part * node.window
         if room < 1:  # below one write-out at a time, one after a rest
@@ -308,31 +307,38 @@
     KEPT = 200  # last reqs to be ranked among: a second or so of a busy proxy's
     LEAST = 0.1  # of a window, for the least worth
     NEW = 4  # reqs below each by assumption: the first after a start has nothing to be ranked among, and goes
+    ALIKE = 8  # reqs: a light proxy's first dozens tell little of who sends more than its share
     KEYS = 1000  # last answered ones that a cache will mostly still hold
     MISS = 0.2  # of its worth for the rest: a miss costs the origin, and holds a place while it is fetched
 
     def __init__(self, rng: Random, tenants: list[Tenant], excess: float, parts: int):
         self.rng, self.tenants, self.excess, self.parts = rng, tenants, excess, parts
         self.worths: deque[float] = deque(maxlen=self.KEPT)
+        self.last: deque[tuple[Tenant, int]] = deque()  # whose req came when
         self.seen: OrderedDict[int, bool] = OrderedDict()
 
-    def rate(self, tenant: Tenant, now: int) -> float:
-        """Its reqs a second here, from its last arrivals."""
-        if len(tenant.arrivals) < 8 or now <= tenant.arrivals[0]:
-            return 0.0
-        return len(tenant.arrivals) * 1_000_000 / (now - tenant.arrivals[0])
+    def came(self, tenant: Tenant, now: int) -> None:
+        self.last.append((tenant, now))
+        tenant.recent += 1
+        if len(self.last) > self.KEPT:
+            self.last.popleft()[0].recent -= 1
 
     def within(self, tenant: Tenant, now: int) -> float:
         """The part of a tenant's traffic that its share covers.
 
         We see only a part of all traffic, of unknown size: the middle tenant's rate over its allowance is it.
         """
-        rate = self.rate(tenant, now)
-        ratios = sorted(self.rate(t, now) / t.allowance for t in self.tenants if t.allowance)
-        if not rate or not ratios:
+        due = sum(t.allowance for t in self.tenants)
+        if not tenant.allowance:
             return 1.0
-        part = max(ratios[len(ratios) // 2], 1 / self.parts)
-        return min(1.0, part * tenant.allowance / rate)
+        rate = len(self.last) * 1_000_000 / max(1, now - self.last[0][1])
+
+        def part(t: Tenant) -> float:
+            """Of its allowance that comes here, as if ALIKE more reqs had come in due proportion."""
+            return (t.recent / t.allowance + self.ALIKE / due) / (len(self.last) + self.ALIKE) * rate
+
+        parts = sorted(part(t) for t in self.tenants if t.allowance)
+        return min(1.0, max(parts[len(parts) // 2], 1 / self.parts) / part(tenant))
 
     def answered(self, key: int | None) -> None:
         self.seen[key] = True
@@ -343,10 +349,10 @@
     def part_of_window(self, req: Req, now: int) -> float:
         worth = req.method.criticality
         if req.tenant:
-            req.tenant.arrivals.append(now)
+            self.came(req.tenant, now)
             if self.rng.random() > self.within(req.tenant, now):
                 worth *= self.excess
-                req.beyond = True
+                req.calm = 1 - self.excess  # the less it is worth, the less strain it may add to
         if req.key not in self.seen:
             worth *= self.MISS
         worth *= 1 + 0.01 * self.rng.random()  # equals are parted by chance
@@ -725,7 +731,7 @@
 
         def able(node: Node) -> bool:
             return (
-                self.room.has(node, req.part, now, req.beyond)
+                self.room.has(node, req.part, now, req.calm)
                 and node.state == READY
                 and node not in tried
                 and self.within_group(req, node)
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -74,7 +74,7 @@
 class Tenant:
     name: str
     allowance: float = 0.0  # reqs a second over all proxies
-    arrivals: deque = field(default_factory=lambda: deque(maxlen=64))
+    recent: int = 0  # among the last reqs here
 
 
 @dataclass(eq=False, slots=True)
@@ -89,7 +89,7 @@
     over: bool = False  # concluded, by whom ever
     ranked: bool = False
     part: float = 1.0  # of a node's window that it may use, by its rank
-    beyond: bool = False  # beyond its tenant's share
+    calm: float = 0.0  # the share of reqs that a node must take to be given this one
     luck: float = 0.0  # drawn once: a node as warm as this may take it
     write_outs: list = field(default_factory=list)
     list_call: bool = False  # standing req: ask for the list
