--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -270,7 +270,7 @@
 
     def has(self, node: Node, part: float, now: int, calm: float = 0.0) -> bool:
         heard = now < node.heard + self.FRESH
-        share = node.share if heard else min(node.share, self.common)
+        share = 1.0 if heard else min(node.share, self.common)
         if share < max(1 - part, calm):
             return False
         room = part * node.window
