--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -270,7 +270,7 @@
 
     def has(self, node: Node, part: float, now: int, calm: float = 0.0) -> bool:
         heard = now < node.heard + self.FRESH
-        share = 1.0 if heard else min(node.share, self.common)
+        share = node.share if heard else min(node.share, self.common)
         if share < max(1 - part, calm):
             return False
         room = part * node.window
@@ -286,12 +286,13 @@
             growth = min(self.GROWTH * node.in_time * node.window, 1 / node.window)
             node.window = min(self.MOST, node.window + growth)
 
-    def told(self, node: Node, well: bool) -> None:
-        node.share = min(1.0, node.share + self.BACK) if well else node.share * self.FALL
+    def told(self, node: Node, well: bool, often: bool = False) -> None:
+        fall = self.FALL_ALL if often else self.FALL
+        node.share = min(1.0, node.share + self.BACK) if well else node.share * fall
 
-    def ran_out(self, node: Node, origin: bool, up: bool) -> None:
+    def ran_out(self, node: Node, origin: bool, up: bool, often: bool = False) -> None:
         node.in_time = 0
-        self.told(node, False)
+        self.told(node, False, often)
         if up:  # further failures in a row are the node's own
             self.common *= self.FALL_ALL
         left = node.window * self.FALL
@@ -578,6 +579,7 @@
         self.in_flight -= 1
         self.links.freed(node, now)
         spent = now - write_out.sent
+        often = now < node.heard + self.room.FRESH  # a node met often shows soon whether this was chance
         node.heard = now
         if outcome in (SATISFIED, MISSED):
             self.health.answered(node, now)
@@ -596,9 +598,9 @@
                 self.health.failed(node, outcome in (REFUSED, SEVERED), now)
             if outcome == OVERDUE:
                 method.times.append(spent)
-                self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node))
+                self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node), often)
         elif outcome == FULL:
-            self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node))
+            self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node), often)
         if self.hearsay and outcome not in (RECALLED, SUPERSEDED):
             self.hearsay.note(node, outcome in (SATISFIED, MISSED), now)
         out = [w for w in req.write_outs if w.outcome is None]
