Floors under the shares: a fiftieth of our reqs still goes out

Cause: found by reading: full nodes or slow errors alone could take a share below what the highest rank passes, with no failure in a row to bring a trial, and close a node or all nodes for good. Kept at 0.02. digits and draws share one walk; a test compares homes with the plain walk at 2 to 500 slots.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -30,21 +30,21 @@
 # --- Placement: the paper's, sections IV and V ---
 
 
-def digits(rid: int, count: int) -> list[int]:
+def digits(rid: int, count: int, first: int = 1) -> list[int]:
     """The factorial digits x_0 .. x_(count-1) of rid, x_l in 0..l; past its end they are zeros, which count.
 
     >>> digits(1000, 8)
     [0, 0, 2, 2, 1, 2, 1, 0]
     """
     found = []
-    for radix in range(1, count + 1):
+    for radix in range(first, first + count):
         rid, digit = divmod(rid, radix)
         found.append(digit)
     return found
 
 
-def draws(key: int, count: int) -> list[tuple[int, int]]:
-    """For each slot l a whole number below a bound: the key's hash, taken apart by remainders.
+def draws(key: int, count: int) -> list[int]:
+    """For each slot l a whole number in 0..l: the key's hash, taken apart by remainders.
 
     32 digits use up under 400 of a block's 512 bits while slots stay below 4096, so each digit is even to
     within 2^-100; Python's own hash is salted a process and would part the proxies.
@@ -52,9 +52,7 @@
     found: list[int] = []
     for block in range(0, count, 32):
         rid = int.from_bytes(blake2b(b"%d/%d" % (key, block)).digest(), "little")
-        for radix in range(block + 1, min(block + 32, count) + 1):
-            rid, digit = divmod(rid, radix)
-            found.append(digit)
+        found += digits(rid, min(32, count - block), block + 1)
     return found
 
 
@@ -248,6 +246,7 @@
     """
 
     LEAST, MOST = 0.05, 64.0  # one in 2 s shows when it is better; the most bounds a fall
+    CLOSED = 0.02  # of our reqs still go out, else slow errors or full nodes would close all for good
     START = 12.0  # of a window: so that the least worth still has one place at a node that shows no strain
     REST = 100_000  # between write-outs, over the window, when that is below one: some answers' time
     # Of a small window, an answer, times the answers in a row: half of them timing out hold it down, as in a
@@ -256,9 +255,9 @@
     DROP = 2.0  # at most, off the origin's: it has what all caches miss, so chance alone often times one out
     FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
-    # Of the common share: one in six out of time, some failing nodes' part, leaves all; one in two a fifth.
+    # Of the common share: one in eleven out of time leaves all, one in four a third, one in two a tenth.
     FALL_ALL, BACK_ALL = 0.8, 0.02
-    # Back with an answer: a share settles where one in three runs out of time at half, one in two at a fifth.
+    # A node's share back with an answer: one in five out of time leaves all, one in two a third.
     BACK = 0.15
 
     FRESH = 500_000  # what the node itself showed this lately goes before what all show: some answers' time
@@ -288,13 +287,16 @@
 
     def told(self, node: Node, well: bool, often: bool = False) -> None:
         fall = self.FALL_ALL if often else self.FALL
-        node.share = min(1.0, node.share + self.BACK) if well else node.share * fall
+        node.share = min(1.0, node.share + self.BACK) if well else max(self.CLOSED, node.share * fall)
+
+    def strained(self) -> None:
+        self.common = max(self.CLOSED, self.common * self.FALL_ALL)
 
     def ran_out(self, node: Node, origin: bool, up: bool, often: bool = False) -> None:
         node.in_time = 0
         self.told(node, False, often)
         if up:  # further failures in a row are the node's own
-            self.common *= self.FALL_ALL
+            self.strained()
         left = node.window * self.FALL
         node.window = max(self.LEAST, left, node.window - self.DROP if origin else 0)
 
@@ -592,7 +594,7 @@
             pass  # it went out late: not the node's doing, and above all not the origin's after a slow miss
         elif outcome == ERRORED and 2 * spent >= method.latency_budget:
             # Slow errors are fetches that ran out of time: not the node but the origin behind all is pressed.
-            self.room.common *= self.room.FALL_ALL
+            self.room.strained()
         elif outcome in (ERRORED, REFUSED, SEVERED, OVERDUE):
             if not write_out.doubted:
                 self.health.failed(node, outcome in (REFUSED, SEVERED), now)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -324,3 +324,34 @@
     before = slow.write_outs[0].node.failures
     made.after(slow.write_outs[0], ERRORED, S * 6 // 10)
     assert slow.write_outs[0].node.failures == before and made.room.common < 1
+
+
+def test_no_strain_closes_a_node_or_the_fleet_for_good():
+    made = choice(nodes(4))
+    for worth in range(200):
+        made.shares.worths.append(worth / 100)
+    for node in made.placement.slots * 40:
+        made.room.ran_out(node, False, True)
+        node.window = made.room.START
+    asked = req()
+    asked.method.criticality = 99.0
+    made.shares.answered(7)
+    assert made.where(asked, 0)[0] == GO
+
+
+def plain_homes(found, k):
+    """The paper's figure 3, slot after slot."""
+    place = list(range(k))
+    for slot in range(k, len(found)):
+        if found[slot] < k:
+            place[found[slot]] = slot
+    return place
+
+
+def test_homes_are_the_plain_walks_at_any_size():
+    for count in (2, 3, 13, 33, 80, 500):
+        placement = Placement(False)
+        placement.settle(nodes(count), 0)
+        for key in range(50):
+            names = [placement.slots[slot] for slot in plain_homes(draws(key, count), 2)]
+            assert placement.homes(key, 2)[:2] == names
