--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -268,7 +268,7 @@
         self.common = 1.0
 
     def has(self, node: Node, part: float, now: int, calm: float = 0.0) -> bool:
-        heard = now < node.heard + self.FRESH
+        heard = now < node.heard + self.FRESH and node.window >= 1
         share = node.share if heard else min(node.share, self.common)
         if share < max(1 - part, calm):
             return False
