--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -20,8 +20,8 @@
 
 from .model import (  # fmt: skip
     CLIENT_GONE, DEDUPLICATED, DONE, ERRORED, FAIL, FULL, GO, LEFT, MISSED, NACK, NON_RETRYABLE, OVERDUE,
-    READY, RECALLED, REFUSED, RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, WAIT,
-    Method, Node, Req, Tenant, WriteOut,
+    READY, RECALLED, REFUSED, RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, WAIT, Method, Node, Req, Tenant,
+    WriteOut,
 )
 
 NEVER_RAN = {FULL, REFUSED, SUPERSEDED, MISSED}  # the wire page: these endings prove it
@@ -231,9 +231,6 @@
             return 1.0
         return min(1.0, self.share + (1 - self.share) * max(0, now - node.started) / self.cold)
 
-    def allows(self, node: Node, luck: float, now: int) -> bool:
-        return luck < self.warmth(node, now)
-
 
 # --- Sharing under pressure ---
 
@@ -260,6 +257,7 @@
     # A node's share back with an answer: one in five out of time leaves all, one in two a third.
     BACK = 0.15
 
+    EBB = 0.96  # of both is left after a slow answer: where a miss is told at once, that is a queue
     FRESH = 500_000  # what the node itself showed this lately goes before what all show: some answers' time
 
     def __init__(self):
@@ -277,7 +275,10 @@
             return not node.in_flight and now >= node.sent + self.REST / room
         return node.in_flight < room
 
-    def answered(self, node: Node) -> None:
+    def answered(self, node: Node, slow: bool) -> None:
+        if slow:
+            self.told(node, False, self.EBB)
+            return self.strained(self.EBB)
         node.in_time += 1
         self.told(node, True)
         self.common = min(1.0, self.common + self.BACK_ALL)
@@ -285,16 +286,15 @@
             growth = min(self.GROWTH * node.in_time * node.window, 1 / node.window)
             node.window = min(self.MOST, node.window + growth)
 
-    def told(self, node: Node, well: bool, often: bool = False) -> None:
-        fall = self.FALL_ALL if often else self.FALL
-        node.share = min(1.0, node.share + self.BACK) if well else max(self.CLOSED, node.share * fall)
+    def told(self, node: Node, well: bool, left: float = FALL) -> None:
+        node.share = min(1.0, node.share + self.BACK) if well else max(self.CLOSED, node.share * left)
 
-    def strained(self) -> None:
-        self.common = max(self.CLOSED, self.common * self.FALL_ALL)
+    def strained(self, left: float = FALL_ALL) -> None:
+        self.common = max(self.CLOSED, self.common * left)
 
     def ran_out(self, node: Node, origin: bool, up: bool, often: bool = False) -> None:
         node.in_time = 0
-        self.told(node, False, often)
+        self.told(node, False, self.FALL_ALL if often else self.FALL)
         if up:  # further failures in a row are the node's own
             self.strained()
         left = node.window * self.FALL
@@ -380,9 +380,6 @@
         self.keep = idle * self.FEW // proxies if proxies > self.FEW else 0  # 0: for the nodes to close
         self.idle: OrderedDict[Node, int] = OrderedDict()  # since when, oldest first
 
-    def used(self, node: Node) -> None:
-        self.idle.pop(node, None)
-
     def freed(self, node: Node, now: int) -> None:
         if self.keep and not node.in_flight:
             self.idle[node] = now
@@ -563,7 +560,7 @@
         req.write_outs.append(write_out)
         node.in_flight += 1
         node.sent = now
-        self.links.used(node)
+        self.links.idle.pop(node, None)
         self.in_flight += 1
         if until < end or (self.may_duplicate and self.repeatable(req)):
             self.later(req, now + self.patience(req.method, end - now, write_out.trial))
@@ -586,7 +583,8 @@
         if outcome in (SATISFIED, MISSED):
             self.health.answered(node, now)
             method.times.append(spent)
-            self.room.answered(node)
+            aside = self.origin_kind not in (-1, node.kind)
+            self.room.answered(node, aside and 2 * spent > method.latency_budget)
             if outcome == SATISFIED:
                 self.spare = min(self.FURTHER_MOST, self.spare + self.FURTHER)
                 self.shares.answered(req.key)
@@ -740,7 +738,7 @@
                 and node not in tried
                 and self.within_group(req, node)
                 and self.health.up(node)
-                and self.cold.allows(node, req.luck, now)
+                and req.luck < self.cold.warmth(node, now)
             )
 
         start = self.rng.randrange(len(replicas))
@@ -756,7 +754,7 @@
                 and lone
                 and req.method.semantics == RETRYABLE
                 and not req.write_outs
-                and self.cold.allows(node, req.luck, now)
+                and req.luck < self.cold.warmth(node, now)
             ):
                 return node
         fit = [node for node in turn if able(node)]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -257,7 +257,7 @@
     node = made.placement.slots[0]
     node.window = 0.1
     for _ in range(9):
-        made.room.answered(node)
+        made.room.answered(node, False)
     assert node.window > 1
 
 
@@ -278,7 +278,7 @@
     made.room.ran_out(node, False, True)
     assert made.room.has(node, 0.6, 0) and not made.room.has(node, 0.4, 0)
     for _ in range(5):
-        made.room.answered(node)
+        made.room.answered(node, False)
     assert made.room.has(node, 0.2, 0)
 
 
@@ -355,3 +355,12 @@
         for key in range(50):
             names = [placement.slots[slot] for slot in plain_homes(draws(key, count), 2)]
             assert placement.homes(key, 2)[:2] == names
+
+
+def test_slow_answers_ebb_the_shares_only_where_a_miss_is_told_at_once():
+    for origin, less in ((4, True), (-1, False)):
+        made = choice([*nodes(3), Node("origin", kind=4)], origin=origin, may_duplicate=False)
+        asked = req()
+        node = made.where(asked, 0)[1]
+        made.after(asked.write_outs[0], SATISFIED, S * 6 // 10)
+        assert (node.share < 1 and made.room.common < 1) == less
