--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -257,7 +257,7 @@
     # A node's share back with an answer: one in five out of time leaves all, one in two a third.
     BACK = 0.15
 
-    EBB = 0.96  # of both is left after a slow answer: where a miss is told at once, that is a queue
+    EBB = 0.92  # of both is left after a slow answer: where a miss is told at once, that is a queue
     FRESH = 500_000  # what the node itself showed this lately goes before what all show: some answers' time
 
     def __init__(self):
