--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -6,8 +6,9 @@
     after(write_out, outcome, now)  -> the same for its req (or DONE), and a list of write-outs to call off
     wait(now)                       -> microseconds until the next thing is due (None: nothing is), and the
                                        reqs due now, in order, for each of which `where` is to be asked
-`listed(nodes, whole, now)` tells list news and answers nothing.  The types are in model.py; docs/design.md
-says what comes from the paper, what was changed, and when each exception acts.  Times are whole microseconds.
+`listed(nodes, whole, now)` and `told(words, now)` tell news of the list and of peers and answer nothing.
+The types are in model.py; docs/design.md says what comes from the paper, what was changed, and when each
+exception acts.  Times are whole microseconds.
 """
 
 from __future__ import annotations
@@ -236,10 +237,10 @@
 
 
 class Room:
-    """How many of our write-outs a node bears at once: shown by how many came back in time.
+    """How many of our write-outs a node bears at once, and what part of our reqs: shown by what came in time.
 
     Guards against the jam: where late work is not stopped, a deep queue makes all behind it late, so sending
-    on keeps the queue full.  Own evidence only; with every proxy doing the same the node's queue drains.
+    on keeps the queue full.  With every proxy doing the same the node's queue drains.
     """
 
     LEAST, MOST = 0.05, 64.0  # one in 2 s shows when it is better; the most bounds a fall
