--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -48,7 +48,7 @@
     def __init__(self, nodes: Nodes, place: Place):
         super().__init__()
         self.nodes, self.place = nodes, place
-        self.sending: Sending | None = None
+        self.sending: Sending | None = None  # over already where nobody waits for its answer any more
         self.deadline: list | None = None
         self.carried = 0
         self.up = False
@@ -98,12 +98,14 @@
     EACH = 16  # connections to one node: some times what is out there at once, a part of its table
     PART = 3  # of the descriptors, one in so many is for nodes
     AHEAD = 0.8  # of the time after which a node closes an idle one, we do: theirs may cross a write-out
+    LINGER = 1_000_000  # for an answer nobody waits for: most late ones come by then, a hung node's never
 
-    def __init__(self, reactor, deadlines, now, ended, sockets: int, idle: int, connect_timeout: int):
+    def __init__(self, reactor, deadlines, now, ended, sockets: int, idle: int, connect_timeout: int, linger):
         self.reactor, self.deadlines, self.now = reactor, deadlines, now
         self.ended = ended  # told of each write-out's outcome, once, never from within `send`
         self.most = sockets // self.PART
         self.idle, self.connect_timeout = int(idle * self.AHEAD), connect_timeout
+        self.linger = self.LINGER if linger else 0
         self.links = tables.Slots()
         self.places: dict[str, Place] = {}
         self.resting: OrderedDict[Link, None] = OrderedDict()  # idle ones, longest first
@@ -185,15 +187,20 @@
             self.end(sending, REFUSED if sending.place.opening else FULL)
 
     def give_up(self, sending: Sending, outcome: str) -> None:
+        """Nobody waits any more.  Where a second copy may be out, the answer is let come a little longer, to
+        be thrown away: a new connection costs the node more work than that, and the next req its time."""
         if sending.over:
             return
-        link = sending.link
+        link, code = sending.link, "called-off" if outcome == RECALLED else "out-of-time"
         if link is None:
             return self.end(sending, SUPERSEDED if outcome == RECALLED else REFUSED)
+        if self.linger:
+            link.deadline = self.deadlines.at(self.now() + self.linger, link.drop, code)
+        else:
+            link.drop(code)
         self.end(sending, outcome)
-        link.drop("called-off" if outcome == RECALLED else "out-of-time")
 
-    def end(self, sending: Sending, outcome: str) -> None:
+    def end(self, sending: Sending, outcome: str, value: bytes | None = None) -> None:
         if sending.over:
             return
         sending.over = True
@@ -201,9 +208,7 @@
             self.deadlines.drop(deadline)
         if sending.link is None:
             sending.place.waiting.remove(sending)
-        else:
-            sending.link.sending = None
-        self.ended(sending, outcome, None)
+        self.ended(sending, outcome, value)
 
     # What happens on links.
 
@@ -242,13 +247,12 @@
         outcome = outcome_of(value)
         if outcome == ERRORED and value != "-ERR failed":
             logger.warning("node {}: unexpected answer {!r:.80}", link.place.name, value)
-        sending.over = True
-        for deadline in sending.until:
-            self.deadlines.drop(deadline)
         link.sending = None
         if link.code is None:
+            self.deadlines.drop(link.deadline)
             self.free(link)
-        self.ended(sending, outcome, value[0] if outcome == SATISFIED else None)
+        if not sending.over:
+            self.end(sending, outcome, value[0] if outcome == SATISFIED else None)
 
     def lost(self, link: Link, code: str) -> None:
         place = link.place
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -52,8 +52,9 @@
         self.alarm: list | None = None
         self.listing: WriteOut | None = None
         self.nodes = Nodes(
-            reactor, self.deadlines, self.now, self.ended, run.sockets, run.idle, run.connect_timeout
-        )
+            reactor, self.deadlines, self.now, self.ended, run.sockets, run.idle, run.connect_timeout,
+            self.settings.may_duplicate,
+        )  # fmt: skip
         most = run.sockets - self.nodes.most - Front.SPARE
         self.front = Front(
             self.deadlines, self.now, self.taken, self.gone, self.ready,
