Write-outs go behind others once a node has two of our connections

Nothing goes behind a write-out that was given up, and where no second copy may be out a connection still carries one.

--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -43,12 +43,12 @@
 
 
 class Link(Resp):
-    """A connection to a node; one write-out at a time is on it."""
+    """A connection to a node; answers come in the order of the write-outs on it."""
 
     def __init__(self, nodes: Nodes, place: Place):
         super().__init__()
         self.nodes, self.place = nodes, place
-        self.sending: Sending | None = None  # over already where nobody waits for its answer any more
+        self.out: deque[Sending] = deque()  # in order; over already where nobody waits for its answer
         self.deadline: list | None = None
         self.carried = 0
         self.up = False
@@ -98,14 +98,16 @@
     EACH = 16  # connections to one node: some times what is out there at once, a part of its table
     PART = 3  # of the descriptors, one in so many is for nodes
     AHEAD = 0.8  # of the time after which a node closes an idle one, we do: theirs may cross a write-out
+    FEW = 2  # connections to a node before a write-out goes behind others instead of on a new one
     LINGER = 1_000_000  # for an answer nobody waits for: most late ones come by then, a hung node's never
 
-    def __init__(self, reactor, deadlines, now, ended, sockets: int, idle: int, connect_timeout: int, linger):
+    def __init__(self, reactor, deadlines, now, ended, sockets, idle, connect_timeout, deep):
         self.reactor, self.deadlines, self.now = reactor, deadlines, now
         self.ended = ended  # told of each write-out's outcome, once, never from within `send`
         self.most = sockets // self.PART
         self.idle, self.connect_timeout = int(idle * self.AHEAD), connect_timeout
-        self.linger = self.LINGER if linger else 0
+        self.deep = deep  # write-outs on a connection at once; one where giving up is closing
+        self.linger = self.LINGER if deep > 1 else 0
         self.links = tables.Slots()
         self.places: dict[str, Place] = {}
         self.resting: OrderedDict[Link, None] = OrderedDict()  # idle ones, longest first
@@ -148,11 +150,19 @@
             self.no_longer_idle(link)
             if not link.transport.disconnecting:
                 return self.write(link, sending)
+        if len(place.links) >= self.FEW and self.deep > 1:
+            fit = [link for link in place.links if link.up and link.code is None and self.fits(link)]
+            if fit:
+                return self.write(min(fit, key=lambda link: len(link.out)), sending)
         place.waiting.append(sending)
         no_link = min(until, self.now() + self.connect_timeout)
         sending.until.append(self.deadlines.at(no_link, self.no_link_came, sending))
         self.open(place)
 
+    def fits(self, link: Link) -> bool:
+        """One more write-out can go behind those on it, none of which has been given up."""
+        return len(link.out) < self.deep and not any(sending.over for sending in link.out)
+
     def open(self, place: Place) -> None:
         if len(place.opening) >= len(place.waiting) or len(place.links) >= self.EACH:
             return
@@ -171,7 +181,8 @@
             place.opening[link] = connector
 
     def write(self, link: Link, sending: Sending) -> None:
-        sending.link, link.sending = link, sending
+        sending.link = link
+        link.out.append(sending)
         link.carried += 1
         rest = max(1, (sending.write_out.until - self.now()) // 1000)
         link.transport.writeSequence(sending.frame.telling(rest))
@@ -194,12 +205,17 @@
         link, code = sending.link, "called-off" if outcome == RECALLED else "out-of-time"
         if link is None:
             return self.end(sending, SUPERSEDED if outcome == RECALLED else REFUSED)
-        if self.linger:
-            link.deadline = self.deadlines.at(self.now() + self.linger, link.drop, code)
-        else:
+        if not self.linger:
             link.drop(code)
+        elif self.fits(link) or len(link.out) >= self.deep:  # the first given up on it
+            link.deadline = self.deadlines.at(self.now() + self.linger, self.lingered, link, code)
         self.end(sending, outcome)
 
+    def lingered(self, link: Link, code: str) -> None:
+        if all(sending.over for sending in link.out):
+            return link.drop(code)
+        link.deadline = self.deadlines.at(self.now() + self.linger, self.lingered, link, code)
+
     def end(self, sending: Sending, outcome: str, value: bytes | None = None) -> None:
         if sending.over:
             return
@@ -241,15 +257,15 @@
             connector.stopConnecting()
 
     def answered(self, link: Link, value) -> None:
-        sending = link.sending
-        if sending is None:
+        if not link.out:
             return link.drop("strange: an answer to nothing")
+        sending = link.out.popleft()
         outcome = outcome_of(value)
         if outcome == ERRORED and value != "-ERR failed":
             logger.warning("node {}: unexpected answer {!r:.80}", link.place.name, value)
-        link.sending = None
-        if link.code is None:
+        if not any(other.over for other in link.out):
             self.deadlines.drop(link.deadline)
+        if not link.out and link.code is None:
             self.free(link)
         if not sending.over:
             self.end(sending, outcome, value[0] if outcome == SATISFIED else None)
@@ -262,9 +278,9 @@
         place.opening.pop(link, None)
         self.links.drop(link.slot)
         logger.info("end node={} link={} carried={} code={}", place.name, link.slot, link.carried, code)
-        if link.sending is not None:
-            self.end(link.sending, SEVERED)
-        elif failed and code.startswith("refused") and place.waiting:
+        for sending in link.out:
+            self.end(sending, SEVERED)
+        if failed and code.startswith("refused") and place.waiting:
             self.end(place.waiting[0], REFUSED)
         for wanting in [place] if place.waiting else self.wanting():
             self.open(wanting)
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -53,7 +53,7 @@
         self.listing: WriteOut | None = None
         self.nodes = Nodes(
             reactor, self.deadlines, self.now, self.ended, run.sockets, run.idle, run.connect_timeout,
-            self.settings.may_duplicate,
+            self.settings.streams if self.settings.may_duplicate else 1,
         )  # fmt: skip
         most = run.sockets - self.nodes.most - Front.SPARE
         self.front = Front(
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -50,6 +50,7 @@
 class LimitsSheet(Struct):
     conn_idle: Ns = None
     connect_timeout: Ns = None
+    streams_per_conn: Count = None
     most_write_outs: Count = None
     may_duplicate: bool | None = None
     retry_after: bool | None = None
@@ -140,6 +141,7 @@
         self.tenants = {t.name: Tenant(t.name, t.allowance_per_s or 0.0) for t in sheet.parties or []}
         self.asks = sheet.discovery == "ask"
         self.may_duplicate = bool(limits.may_duplicate)
+        self.streams = limits.streams_per_conn or 1
         self.idle, self.connect_timeout = us(limits.conn_idle), us(limits.connect_timeout)
         origin, excess, proxies = specifics.origin_kind, sheet.excess_criticality, sheet.n_instances or 1
         self.choice = Choice(
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,10 +1,12 @@
+import re
+
 from helpers import S, client, entries, get, hit, link, proxy
 from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
 from twisted.python.failure import Failure
 
-from ivystack.model import LEAVING, READY, RECALLED, REFUSED, SATISFIED
+from ivystack.model import LEAVING, READY, RECALLED, REFUSED, SATISFIED, SEVERED
 from ivystack.net.front import Frame
-from ivystack.net.resp import VALUE, Resp, command
+from ivystack.net.resp import VALUE, Resp, bulk, command
 from ivystack.net.tables import Deadlines, Slots
 
 
@@ -172,7 +174,7 @@
     ended = []
     client(made).dataReceived(get())
     node = link(made)
-    sending = node.sending
+    sending = node.out[0]
     made.nodes.ended = lambda sending, outcome, value: ended.append(outcome)
     made.nodes.call_off(sending)
     made.nodes.call_off(sending)
@@ -181,14 +183,14 @@
 
 
 def test_a_second_copys_answer_calls_off_the_first():
-    made = proxy(2, may_duplicate=True)
+    made = proxy(2, may_duplicate=True, streams_per_conn=100)
     made.settings.methods["read"].times.extend([1000] * 8)
     asking = client(made)
     asking.dataReceived(get(fields=b"c=read,d=900"))
     slow = link(made)
     made.reactor.advance(0.6)
     quick = link(made)
-    assert quick is not slow and quick.sending
+    assert quick is not slow and quick.out
     quick.dataReceived(hit())
     assert asking.transport.took() == b"$1\r\nv\r\n" and not made.sendings
     slow.dataReceived(hit(b"late"))  # nobody waits for it, and its connection is good again
@@ -197,7 +199,7 @@
 
 def test_a_connection_whose_answer_never_comes_is_closed_in_the_end():
     # Guards against keeping connections to a hung node, which answers nothing.
-    made = proxy(may_duplicate=True)
+    made = proxy(may_duplicate=True, streams_per_conn=100)
     asking = client(made)
     asking.dataReceived(get())
     node = link(made)
@@ -347,3 +349,42 @@
     client(made).dataReceived(get())
     link(made).dataReceived(hit())
     assert seen == [SATISFIED]
+
+
+def crowd(made):
+    """Five reqs of one key, on two connections to the one node, and the client."""
+    asking = client(made)
+    asking.dataReceived(get(b"1") + get(b"2"))
+    links = [link(made, 0), link(made, 1)]
+    for ident in (b"3", b"4", b"5"):
+        asking.dataReceived(get(ident))
+    return asking, links
+
+
+def test_with_a_few_connections_up_write_outs_go_behind_others():
+    made = proxy(may_duplicate=True, streams_per_conn=100)
+    asking, links = crowd(made)
+    assert len(made.reactor.tcpClients) == 2 and sorted(len(one.out) for one in links) == [2, 3]
+    for one in links:
+        for ident in re.findall(rb"7f\r\n\$1\r\n(\d)", one.transport.took()):
+            one.dataReceived(hit(ident))
+    assert not made.reqs and asking.transport.took() == b"".join(bulk(b"%d" % i) for i in range(1, 6))
+
+
+def test_a_break_ends_all_that_is_on_the_connection():
+    made = proxy(may_duplicate=True, streams_per_conn=100)
+    asking, links = crowd(made)
+    outcomes = []
+    made.nodes.ended = lambda sending, outcome, value: outcomes.append(outcome)
+    links[0].connectionLost(Failure(ConnectionLost()))
+    assert outcomes == [SEVERED] * 3
+
+
+def test_nothing_goes_behind_a_write_out_that_was_given_up():
+    # Guards against feeding a connection whose first answer may never come.
+    made = proxy(may_duplicate=True, streams_per_conn=100)
+    asking, links = crowd(made)
+    for one in links:
+        made.nodes.call_off(one.out[0])
+    asking.dataReceived(get(b"6"))
+    assert len(made.reactor.tcpClients) == 3
