Bounds that hold: values in hand, blocked clients, strange bytes, descriptors

Read again against the protocol, each with a test: a client at its bound of open commands that also did not read was read on (Client.pauseProducing told the two apart by the number owed); after strange bytes of a node the rest of its buffer was read as answers (Link.malformed); values in hand had no bound in all; a socket that we could not open was held against the node (Opening.clientConnectionFailed); lines of a watch given up were still taken (Lines.lineReceived); which connection a write-out goes behind hung on a set's order.

--- a/ivystack/net/discovery.py
+++ b/ivystack/net/discovery.py
@@ -27,7 +27,8 @@
         self.discovery = discovery
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
-        self.discovery.line(line)
+        if self.discovery.body is self:
+            self.discovery.line(line)
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
         self.discovery.broke("line-too-long")
--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -56,11 +56,11 @@
     def __init__(self, front: Front):
         super().__init__()
         self.front = front
-        self.owed: deque[list] = deque()  # [answer or None, its req's slot or None], in order of commands
+        self.owed: deque[list] = deque()  # answer or None, slot, bytes; in order of commands
         self.slot = -1
         self.asked = 0
         self.stuck: list | None = None  # the deadline for reading what we have written
-        self.deaf = False
+        self.blocked = False  # the transport holds more than it could pass on
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
@@ -69,16 +69,12 @@
         self.front.idle[self] = None
         self.front.make_room(self)
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        if not self.deaf:
-            super().dataReceived(data)
-
     def received(self, args) -> None:
         self.front.idle.pop(self, None)
         self.asked += 1
         if not args or not all(isinstance(arg, bytes) for arg in args):
             return self.malformed("not a command")
-        place = [None, None]
+        place = [None, None, 0]
         self.owed.append(place)
         name = args[0].upper()
         if name in WRITES:
@@ -86,20 +82,20 @@
         else:
             place[0] = self.front.plain(name)
         if len(self.owed) >= self.MOST:
-            self.pauseProducing()
+            super().pauseProducing()
         self.flush()
 
     def malformed(self, why: str) -> None:
         """Guards against taking bytes for commands that are none: what is owed goes out, and then the end."""
         self.front.idle.pop(self, None)
-        self.deaf = self.paused = True
-        self.clearLineBuffer()
+        self.deafen()
         self.code = f"malformed: {why}"
-        self.owed.append([b"-ERR %b\r\n" % why.encode(), None])
+        self.owed.append([b"-ERR %b\r\n" % why.encode(), None, 0])
         self.flush()
 
     def answer(self, place: list, text: bytes) -> None:
         place[0] = text
+        self.front.bytes -= place[2]
         self.flush()
 
     def flush(self) -> None:
@@ -111,29 +107,35 @@
             else:
                 self.front.idle[self] = None
                 self.front.idle.move_to_end(self)
-        if self.paused and not self.deaf and not self.stuck and len(self.owed) < self.MOST // 2:
+        self.go_on()
+
+    def go_on(self) -> None:
+        if self.paused and not self.deaf and not self.blocked and len(self.owed) < self.MOST:
             super().resumeProducing()
 
     def leave(self, code: str) -> None:
         """Closes between commands; one that does not read its last answers is cut off."""
-        self.deaf = True
-        if not self.stuck:
-            self.stuck = self.front.deadlines.at(self.front.now() + self.PATIENCE, self.drop, "slow-reader")
+        self.deafen()
+        self.watch_reading()
+        self.transport.unregisterProducer()  # a paused one would keep the transport from closing
         self.close(code)
 
+    def watch_reading(self) -> None:
+        if self.stuck is None:
+            self.stuck = self.front.deadlines.at(self.front.now() + self.PATIENCE, self.drop, "slow-reader")
+
     # The transport's calls: more is written than it could pass on, or all of it has gone out.
 
     def pauseProducing(self) -> None:  # noqa: N802
+        self.blocked = True
+        self.watch_reading()
         super().pauseProducing()
-        if len(self.owed) < self.MOST and not self.stuck:
-            self.stuck = self.front.deadlines.at(self.front.now() + self.PATIENCE, self.drop, "slow-reader")
 
     def resumeProducing(self) -> None:  # noqa: N802
-        if not self.deaf:
-            self.front.deadlines.drop(self.stuck)
-            self.stuck = None
-            if len(self.owed) < self.MOST:
-                super().resumeProducing()
+        self.blocked = False
+        self.front.deadlines.drop(self.stuck)
+        self.stuck = None
+        self.go_on()
 
     def connectionLost(self, reason) -> None:  # noqa: N802
         self.front.deadlines.drop(self.stuck)
@@ -142,6 +144,7 @@
 
 class Front(ServerFactory):
     noisy = False
+    HELD = 48 << 20  # bytes of values in hand; a quarter of the memory that a proxy mostly has
     SPARE = 32  # descriptors for all else: the list, peers, the log, Python's own
 
     def __init__(self, deadlines, now, taken, gone, ready, methods, tenants, most: int):
@@ -153,6 +156,7 @@
         self.clients = Slots()
         self.idle: OrderedDict[Client, None] = OrderedDict()  # nothing owed, longest idle first
         self.stopping = False
+        self.bytes = 0  # of values in hand
 
     def buildProtocol(self, addr):  # noqa: N802
         return Client(self)
@@ -181,9 +185,13 @@
             method = self.methods.get(fields.get(b"c"))
             if method is None or wait is None:
                 fault = b"-ERR a class c= and a wait d= are wanted\r\n"
+            elif self.bytes > self.HELD:  # guards the memory; nothing of it has run
+                fault = BUSY
         if fault:
             place[0] = fault
             return
+        place[2] = len(args[-1])
+        self.bytes += place[2]
         place[1] = self.taken(
             lambda text: client.answer(place, text),
             Frame(args, wait.span(1)),
@@ -203,6 +211,7 @@
         client.owed.clear()
         for place in owed:
             if place[0] is None:  # telling of one may have ended another
+                self.bytes -= place[2]
                 self.gone(place[1])
 
     def stop(self) -> None:
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -9,6 +9,7 @@
 from collections import OrderedDict, deque
 
 from loguru import logger
+from twisted.internet.error import ConnectBindError
 from twisted.internet.protocol import ClientFactory
 
 from ..model import (  # fmt: skip
@@ -38,7 +39,7 @@
         self.name, self.address = name, address
         self.idle: list[Link] = []  # the last one used is the next one used
         self.waiting: deque[Sending] = deque()
-        self.links: set[Link] = set()
+        self.links: dict[Link, None] = {}
         self.opening: dict[Link, object] = {}  # with the connector of each
 
 
@@ -79,7 +80,9 @@
         return self.link
 
     def clientConnectionFailed(self, connector, reason) -> None:  # noqa: N802
-        self.link.nodes.lost(self.link, self.link.code or f"refused: {reason.type.__name__}")
+        own = reason.check(ConnectBindError)
+        code = self.link.code or ("no-descriptor" if own else f"refused: {reason.type.__name__}")
+        self.link.nodes.lost(self.link, code)
 
 
 def outcome_of(value) -> str:
@@ -173,7 +176,7 @@
                 link.close("no-room")
             return
         link = Link(self, place)
-        place.links.add(link)
+        place.links[link] = None
         place.opening[link] = None
         link.deadline = self.deadlines.at(self.now() + self.connect_timeout, self.give_up_opening, link)
         connector = self.reactor.connectTCP(*place.address, Opening(link), timeout=None)
@@ -273,15 +276,15 @@
     def lost(self, link: Link, code: str) -> None:
         place = link.place
         self.no_longer_idle(link)
-        place.links.discard(link)
+        place.links.pop(link, None)
         failed = link in place.opening
         place.opening.pop(link, None)
         self.links.drop(link.slot)
         logger.info("end node={} link={} carried={} code={}", place.name, link.slot, link.carried, code)
         for sending in link.out:
             self.end(sending, SEVERED)
-        if failed and code.startswith("refused") and place.waiting:
-            self.end(place.waiting[0], REFUSED)
+        if failed and code != "connect-timeout" and place.waiting:  # of those each has a deadline of its own
+            self.end(place.waiting[0], FULL if code == "no-descriptor" else REFUSED)
         for wanting in [place] if place.waiting else self.wanting():
             self.open(wanting)
 
--- a/ivystack/net/resp.py
+++ b/ivystack/net/resp.py
@@ -51,6 +51,7 @@
         self.open: list[tuple[list, int]] = []  # arrays begun, each with the parts it wants
         self.chunks: list[bytes] = []
         self.missing = 0  # bytes of the bulk string that is being read, its line end included
+        self.deaf = False  # nothing that still comes is read
 
     # What a side does.
 
@@ -62,6 +63,14 @@
 
     # Reading.
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if not self.deaf:
+            super().dataReceived(data)
+
+    def deafen(self) -> None:
+        self.deaf = self.paused = True
+        self.clearLineBuffer()
+
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         mark, size = line[:1], None
         if mark in (b"$", b"*"):
@@ -124,6 +133,7 @@
     def drop(self, code: str) -> None:
         """Ends the connection at once."""
         self.code = self.code or code
+        self.deafen()
         self.transport.abortConnection()
 
     def ended(self, reason, other: str) -> str:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,10 +1,10 @@
 import re
 
 from helpers import S, client, entries, get, hit, link, proxy
-from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
+from twisted.internet.error import ConnectBindError, ConnectionDone, ConnectionLost, ConnectionRefusedError
 from twisted.python.failure import Failure
 
-from ivystack.model import LEAVING, READY, RECALLED, REFUSED, SATISFIED, SEVERED
+from ivystack.model import FULL, LEAVING, READY, RECALLED, REFUSED, SATISFIED, SEVERED
 from ivystack.net.front import Frame
 from ivystack.net.resp import VALUE, Resp, bulk, command
 from ivystack.net.tables import Deadlines, Slots
@@ -107,6 +107,41 @@
     assert asking.transport.producerState == "paused" and asking.asked == asking.MOST
 
 
+def test_values_in_hand_are_bounded():
+    # Guards the memory: hundreds of clients may each have some values of 64 KiB open.
+    made = proxy()
+    made.front.bytes = made.front.HELD + 1
+    asking = client(made)
+    asking.dataReceived(get())
+    assert asking.transport.took() == b"-BUSY\r\n"
+    made.front.bytes = 0
+    asking.dataReceived(get())
+    assert made.front.bytes > 0
+    link(made).dataReceived(hit())
+    assert made.front.bytes == 0
+
+
+def test_what_comes_after_strange_bytes_of_a_node_answers_nothing():
+    made = proxy()
+    asking = client(made)
+    asking.dataReceived(get())
+    node = link(made)
+    node.dataReceived(b"?\r\n" + hit())
+    assert node.transport.disconnected and asking.transport.took() == b""
+    node.connectionLost(Failure(ConnectionDone()))
+    made.reactor.pump([0.02] * 10)
+    assert asking.transport.took() == b"-BUSY\r\n"
+
+
+def test_without_a_descriptor_no_node_is_blamed():
+    made = proxy()
+    outcomes = []
+    made.nodes.ended = lambda sending, outcome, value: outcomes.append(outcome)
+    client(made).dataReceived(get())
+    made.reactor.tcpClients[0][2].clientConnectionFailed(None, Failure(ConnectBindError()))
+    assert outcomes == [FULL]
+
+
 def test_a_client_that_does_not_read_is_cut_off():
     made = proxy()
     asking = client(made)
@@ -115,6 +150,16 @@
     assert asking.transport.disconnected and asking.code == "slow-reader"
 
 
+def test_a_client_that_reads_again_is_read_again():
+    made = proxy()
+    asking = client(made)
+    asking.pauseProducing()
+    asking.resumeProducing()
+    made.reactor.advance(asking.PATIENCE / S + 1)
+    asking.dataReceived(command(b"PING"))
+    assert asking.transport.took() == b"+PONG\r\n" and not asking.transport.disconnected
+
+
 def test_a_client_that_went_away_ends_its_reqs():
     made = proxy()
     asking = client(made)
