--- a/ivystack/net/discovery.py
+++ b/ivystack/net/discovery.py
@@ -122,3 +122,5 @@
 
     def stop(self) -> None:
         self.stopped = True
+        if self.call is not None or self.body is not None:
+            self.broke("stopping")
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -143,6 +143,11 @@
             self.no_longer_idle(link)
             link.close(code)
 
+    def stop(self) -> None:
+        """For the log: what ends from now on is ended by us."""
+        for link in self.links.values():
+            link.code = link.code or "stopping"
+
     # Write-outs.
 
     def send(self, sending: Sending, name: str, until: int) -> None:
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -104,6 +104,7 @@
             self.deadlines.at(self.now() + 10_000, self.finish)
         else:
             logger.info("stop")
+            self.nodes.stop()
             self.reactor.stop()
 
     def ready(self) -> bool:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -327,7 +327,7 @@
     for one in (idle, asking):
         one.connectionLost(Failure(ConnectionDone()))
     made.reactor.advance(0.02)
-    assert made.reactor.hasStopped
+    assert made.reactor.hasStopped and node.code == "stopping"
 
 
 def test_slots_are_used_again_lowest_first():
