A node that drains gets its connections back as they are done

Reading nodes.py again: a connection that was busy when its node began to drain went idle afterwards and stayed up to 48 s (Nodes.free); now it is closed when its last answer has come. Only the first write-out given up on a connection sets its end (Nodes.give_up).

--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -37,6 +37,7 @@
 
     def __init__(self, name: str, address: tuple[str, int]):
         self.name, self.address = name, address
+        self.ready = True  # as listed
         self.idle: list[Link] = []  # the last one used is the next one used
         self.waiting: deque[Sending] = deque()
         self.links: dict[Link, None] = {}
@@ -126,10 +127,14 @@
             place.address = address
             self.leave(place, "moved")
 
-    def unlisted(self, name: str) -> None:
-        """Nothing new goes there, neither what waits nor what is idle: guards the drain's grace."""
+    def listed(self, name: str, ready: bool) -> None:
+        """Nothing new goes to one that is not ready, nor does it keep a connection that has nothing to do:
+        guards the drain's grace, and nodes that wait for their connections to end."""
         place = self.places.get(name)
-        if place is not None:
+        if place is None:
+            return
+        place.ready = ready
+        if not ready:
             self.leave(place, "unlisted")
             for sending in [*place.waiting]:
                 self.end(sending, SUPERSEDED)
@@ -215,7 +220,7 @@
             return self.end(sending, SUPERSEDED if outcome == RECALLED else REFUSED)
         if not self.linger:
             link.drop(code)
-        elif self.fits(link) or len(link.out) >= self.deep:  # the first given up on it
+        elif not any(other.over for other in link.out):
             link.deadline = self.deadlines.at(self.now() + self.linger, self.lingered, link, code)
         self.end(sending, outcome)
 
@@ -245,6 +250,8 @@
         place = link.place
         if place.waiting:
             return self.write(link, place.waiting.popleft())
+        if not place.ready:
+            return link.close("unlisted")
         place.idle.append(link)
         self.resting[link] = None
         link.deadline = self.deadlines.at(self.now() + self.idle, self.idle_too_long, link)
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -249,8 +249,7 @@
                 logger.error("list: an entry that can't be used: {}: {}", type(fault).__name__, fault)
         self.choice.listed(nodes, whole, self.now())
         for node in self.choice.nodes.values():
-            if node.state != READY:
-                self.nodes.unlisted(node.name)
+            self.nodes.listed(node.name, node.state == READY)
         self.settle()
 
     def entry(self, entry: dict) -> Node:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -262,11 +262,22 @@
     asking.dataReceived(get())
     made.listed(entries(1, "DRAINING"), False)
     node = link(made)
-    assert node.transport.took() == b""
+    assert node.transport.took() == b"" and node.transport.disconnecting
     made.reactor.advance(0.5)
     assert asking.transport.took() == b"-BUSY\r\n"
 
 
+def test_a_node_that_drains_gets_its_connections_back_as_they_are_done():
+    made = proxy()
+    asking = client(made)
+    asking.dataReceived(get())
+    node = link(made)
+    made.listed(entries(1, "DRAINING"), False)
+    assert not node.transport.disconnecting
+    node.dataReceived(hit())
+    assert asking.transport.took() == b"$1\r\nv\r\n" and node.code == "unlisted"
+
+
 def test_idle_connections_are_closed_before_the_node_does():
     made = proxy()
     client(made).dataReceived(get())
