--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -179,9 +179,6 @@
 
     IDLE, CONNECT_TIMEOUT = 60_000_000, 1_000_000  # where the settings name none
     SOCKETS = 1024  # the usual limit of a process
-    # Nanoseconds: events come as they happen, not in batches as the stated granularity has it; an answer of
-    # ours takes half a millisecond to the client, 1 to 5 at worst.
-    TICK = 1_000_000
 
     def __init__(self, config: Config):
         self.name = config.name or "proxy"
@@ -195,8 +192,7 @@
             raise FaultError(f"`seed`: wanted a hexadecimal number, got {config.seed!r}") from None
         self.known = config.known
         self.sockets = (config.limits or MachineSheet()).sockets or self.SOCKETS
-        on_sockets = msgspec.structs.replace(config.settings, granularity=self.TICK)
-        self.settings = Settings(self.seed, on_sockets)
+        self.settings = Settings(self.seed, config.settings)
         self.idle = self.settings.idle or self.IDLE
         self.connect_timeout = self.settings.connect_timeout or self.CONNECT_TIMEOUT
 
