A connection that says nothing more condemns the idle ones beside it

Checked in the code and the protocol page: a machine that was cut off resets the connections it no longer knows when it is back, so the first write-outs on connections that were idle meanwhile would end as resets, may have run, and count against a node that is well again (Nodes.lingered left them).

--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -226,6 +226,8 @@
 
     def lingered(self, link: Link, code: str) -> None:
         if all(sending.over for sending in link.out):
+            # Guards the next req there: where one connection says nothing more, idle ones are no better.
+            self.leave(link.place, "suspect")
             return link.drop(code)
         link.deadline = self.deadlines.at(self.now() + self.linger, self.lingered, link, code)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -407,6 +407,17 @@
     assert seen == [SATISFIED]
 
 
+def test_a_connection_that_says_nothing_more_condemns_the_idle_ones():
+    # Guards against a machine that was cut off: it resets the connections it no longer knows when it is back.
+    made = proxy(may_duplicate=True, streams_per_conn=100)
+    asking = client(made)
+    asking.dataReceived(get(b"1") + get(b"2"))
+    silent, quick = link(made, 0), link(made, 1)
+    quick.dataReceived(hit())
+    made.reactor.pump([0.6, made.nodes.LINGER / S])
+    assert silent.transport.disconnected and quick.code == "suspect"
+
+
 def crowd(made):
     """Five reqs of one key, on two connections to the one node, and the client."""
     asking = client(made)
