Tests that start the program: faults, a taken address, SIGTERM; names in the list checked

An entry whose name was no word would have failed the whole list news inside the decisions (Proxy.entry). The start, exit codes and the half second after SIGTERM had no test of the process itself.

--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -12,7 +12,7 @@
 from loguru import logger
 from twisted.internet.protocol import ServerFactory
 
-from .resp import Resp, bulk, command
+from .resp import Resp, bulk
 from .tables import Slots
 
 PONG, OK, BUSY, FAILED = b"+PONG\r\n", b"+OK\r\n", b"-BUSY\r\n", b"-ERR failed\r\n"
@@ -218,6 +218,3 @@
         self.stopping = True
         for client in [*self.idle]:
             client.leave("stopping")
-
-
-__all__ = ["BUSY", "FAILED", "Front", "Frame", "command"]
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -254,6 +254,8 @@
 
     def entry(self, entry: dict) -> Node:
         name, where = entry["instanceId"], entry.get("hostPort")
+        if not isinstance(name, str):
+            raise TypeError(f"instanceId: wanted a name, got {name!r}")
         node = Node(
             name,
             self.settings.kinds.get(entry.get("machineType"), -2),
--- /dev/null
+++ b/tests/test_main.py
@@ -0,0 +1,81 @@
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+from helpers import command
+
+
+@pytest.fixture
+def started(tmp_path):
+    """Starts the program with a configuration; kills what a test leaves running."""
+    running = []
+
+    def start(**config):
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(config))
+        running.append(
+            subprocess.Popen(
+                [sys.executable, "-B", "-m", "ivystack"],
+                env={**os.environ, "LB_CONFIG": str(path)},
+                stderr=subprocess.PIPE,
+            )
+        )
+        return running[-1]
+
+    yield start
+    for process in running:
+        process.kill()
+        process.communicate()
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as one:
+        return one.getsockname()[1]
+
+
+def connected(port):
+    for _ in range(100):
+        try:
+            return socket.create_connection(("127.0.0.1", port), timeout=5)
+        except ConnectionRefusedError:
+            time.sleep(0.05)
+    raise TimeoutError
+
+
+def test_a_faulty_configuration_ends_it_with_code_2_and_one_line(started):
+    process = started(listen="127.0.0.1:0", discovery="127.0.0.1:1", settings={})
+    _, told = process.communicate(timeout=10)
+    assert process.returncode == 2 and told.count(b"\n") == 1 and b"listen" in told
+
+
+def test_a_taken_address_ends_it_with_code_1(started):
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        address = f"127.0.0.1:{other.getsockname()[1]}"
+        process = started(listen=address, discovery=f"127.0.0.1:{free_port()}", settings={})
+        process.communicate(timeout=10)
+    assert process.returncode == 1
+
+
+def test_it_serves_until_sigterm_and_half_a_second_more(started):
+    # Discovery is away all the while, and strange bytes come: neither may take it down.
+    port, node = free_port(), {"instanceId": "a", "hostPort": "127.0.0.1:1", "lifecycle": "SERVING"}
+    known = {"generation": 1, "reset": True, "instances": [node]}
+    process = started(
+        listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{free_port()}", settings={}, known=known
+    )
+    with connected(port) as strange:
+        strange.sendall(bytes(range(256)) + b"\r\n")
+        assert strange.recv(100).startswith(b"-ERR ")
+    process.send_signal(signal.SIGTERM)
+    time.sleep(0.2)
+    with connected(port) as asking:
+        asking.sendall(command(b"PING"))
+        assert asking.recv(100) == b"+PONG\r\n"
+        assert asking.recv(100) == b""  # closed between reqs
+    process.communicate(timeout=10)
+    assert process.returncode == 0
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -304,8 +304,8 @@
 
 def test_an_entry_that_cannot_be_used_does_not_hide_the_others():
     made = proxy(0)
-    nowhere = {"instanceId": "x", "lifecycle": "SERVING"}
-    made.listed([nowhere, 5, *entries(1), *entries(2, "NEW-WORD")[1:]], True)
+    strange = [5, {"instanceId": "x", "lifecycle": "SERVING"}, {"instanceId": 5, "hostPort": "127.0.0.1:5"}]
+    made.listed([*strange, *entries(1), *entries(2, "NEW-WORD")[1:]], True)
     assert {name: node.state for name, node in made.choice.nodes.items()} == {"n0": READY, "n1": LEAVING}
 
 
