--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -102,7 +102,7 @@
     EACH = 16  # connections to one node: some times what is out there at once, a part of its table
     PART = 3  # of the descriptors, one in so many is for nodes
     AHEAD = 0.8  # of the time after which a node closes an idle one, we do: theirs may cross a write-out
-    FEW = 3  # connections to a node before a write-out goes behind others instead of on a new one
+    FEW = 2  # connections to a node before a write-out goes behind others instead of on a new one
     LINGER = 1_000_000  # for an answer nobody waits for: most late ones come by then, a hung node's never
 
     def __init__(self, reactor, deadlines, now, ended, sockets, idle, connect_timeout, deep):
