Dropped deadlines do not pile up

Reckoned in a review: each time a connection went from idle to busy its deadline, up to 48 s ahead, stayed in the heap (Deadlines.drop), at 1,000 reqs a second some 48,000 lists or 15 MB, more with longer idle times. The heap is now built anew when over half of it has been dropped.

--- a/ivystack/net/tables.py
+++ b/ivystack/net/tables.py
@@ -40,12 +40,15 @@
 
 
 class Deadlines:
-    """Calls to be made at their times; a list [at, number, call, values] each, its call None once dropped."""
+    """Calls to be made at their times; a list [at, number, call, values] each, its call None once over."""
+
+    MANY = 1000  # dropped ones that may stay in the heap, where they are over half of it
 
     def __init__(self, reactor, now):
         self.reactor, self.now = reactor, now
         self.heap: list[list] = []
         self.count = 0
+        self.dropped = 0  # still in the heap
         self.timer, self.timer_at = None, 0
 
     def at(self, when: int, call, *values) -> list:
@@ -56,13 +59,28 @@
         return deadline
 
     def drop(self, deadline: list | None) -> None:
-        if deadline is not None:
-            deadline[2], deadline[3] = None, ()
+        if deadline is None or deadline[2] is None:
+            return
+        deadline[2], deadline[3] = None, ()
+        self.dropped += 1
+        # Guards the memory: a busy proxy drops thousands of deadlines a second that lie a minute ahead.
+        if self.dropped > self.MANY and 2 * self.dropped > len(self.heap):
+            self.heap = [one for one in self.heap if one[2] is not None]
+            heapq.heapify(self.heap)
+            self.dropped = 0
+
+    def pop(self) -> tuple:
+        deadline = heapq.heappop(self.heap)
+        call, values = deadline[2:]
+        if call is None:
+            self.dropped -= 1
+        deadline[2], deadline[3] = None, ()
+        return call, values
 
     def arm(self) -> None:
         """Sees to it that the timer goes off by the first deadline; one that goes off early does no harm."""
         while self.heap and self.heap[0][2] is None:
-            heapq.heappop(self.heap)
+            self.pop()
         if not self.heap or self.timer is not None and self.timer_at <= self.heap[0][0]:
             return
         self.timer_at = self.heap[0][0]
@@ -76,7 +94,7 @@
         self.timer = None
         now = self.now()
         while self.heap and self.heap[0][0] <= now:
-            call, values = heapq.heappop(self.heap)[2:]
+            call, values = self.pop()
             if call is None:
                 continue
             try:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -361,6 +361,21 @@
     assert seen == [1, 2, 3]
 
 
+def test_dropped_deadlines_do_not_pile_up():
+    made = proxy()
+    seen = []
+    deadlines = Deadlines(made.reactor, made.now)
+    kept = deadlines.at(made.now() + 2 * S, seen.append, 1)
+    for _ in range(5 * deadlines.MANY):
+        deadlines.drop(deadlines.at(made.now() + 60 * S, seen.append, 2))
+    assert len(deadlines.heap) < 2 * deadlines.MANY + 2
+    made.reactor.pump([1.5, 1])
+    assert seen == [1]
+    deadlines.drop(kept)  # one that is over counts no more
+    made.reactor.advance(60)
+    assert deadlines.dropped == len(deadlines.heap) == 0
+
+
 def test_a_silent_watch_is_begun_anew():
     made = proxy()
     calls = []
