--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -12,6 +12,7 @@
 from loguru import logger
 from twisted.internet.protocol import ServerFactory
 
+from ..model import NACK, SATISFIED
 from .resp import Resp, bulk
 from .tables import Slots
 
@@ -35,6 +36,20 @@
         return [self.before, bulk(b"%b%d%b" % (self.fields, wait_ms, self.after)), self.value]
 
 
+def told(word: str, what: bytes | int) -> bytes:
+    """An answer in the protocol's words.
+
+    >>> from ivystack.model import FAIL
+    >>> told(SATISFIED, b"v"), told(NACK, 20), told(NACK, 0), told(FAIL, 0)
+    (b'$1\\r\\nv\\r\\n', b'-BUSY 20\\r\\n', b'-BUSY\\r\\n', b'-ERR failed\\r\\n')
+    """
+    if word == SATISFIED:
+        return bulk(what)
+    if word == NACK:
+        return b"-BUSY %d\r\n" % what if what else BUSY
+    return FAILED
+
+
 def key_of(text: bytes) -> int:
     """A key is a number in hexadecimal; any other is taken by its bytes, which all proxies do alike.
 
@@ -193,7 +208,7 @@
         place[2] = len(args[-1])
         self.bytes += place[2]
         place[1] = self.taken(
-            lambda text: client.answer(place, text),
+            lambda word, what: client.answer(place, told(word, what)),
             Frame(args, wait.span(1)),
             method,
             int(wait[1]) * 1000,
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -16,10 +16,9 @@
 )
 from ..settings import Run, address
 from .discovery import Discovery
-from .front import BUSY, FAILED, Frame, Front
+from .front import Frame, Front
 from .nodes import Nodes, Sending
 from .peers import Peers
-from .resp import bulk
 from .tables import Clock, Deadlines, Slots
 
 STATES = {"SERVING": READY, "DRAINING": LEAVING, "DELETED": LEFT}
@@ -119,7 +118,7 @@
         held.slot = self.reqs.put(held)
         self.held[req] = held
         # Guards against a req that failing decisions have lost: its client gets an answer all the same.
-        held.last_call = self.deadlines.at(req.give_up_at + self.LAST, self.answer, req, FAILED)
+        held.last_call = self.deadlines.at(req.give_up_at + self.LAST, self.answer, req, FAIL)
         self.ask(req, now)
         self.settle()
         return held.slot
@@ -143,11 +142,12 @@
         del self.held[held.req]
         self.reqs.drop(held.slot)
 
-    def answer(self, req: Req, text: bytes) -> None:
+    def answer(self, req: Req, word: str, what: bytes | int = 0) -> None:
+        """The req's one final answer: satisfied with a value, nacked for so many milliseconds, or failed."""
         held = self.held.get(req)
         if held is not None:
             self.close(held)
-            held.reply(text)
+            held.reply(word, what)
 
     # Decisions.
 
@@ -176,18 +176,18 @@
             sending = self.sendings[write_out] = Sending(write_out, self.held[req].frame)
             self.nodes.send(sending, node.name, when)
         elif word == NACK:
-            self.answer(req, b"-BUSY %d\r\n" % -(-when // 1000) if when else BUSY)
+            self.answer(req, NACK, -(-when // 1000))
         elif word == FAIL:
-            self.answer(req, FAILED)
+            self.answer(req, FAIL)
         elif word == DONE and req in self.held:
             logger.error("decisions failed: a req was let go without an answer")
-            self.answer(req, FAILED)
+            self.answer(req, FAIL)
 
     def ended(self, sending: Sending, outcome: str, value: bytes | None) -> None:
         """A write-out has ended; the client of a satisfied one gets its answer before all else."""
         del self.sendings[sending.write_out]
         if outcome == SATISFIED:
-            self.answer(sending.write_out.req, bulk(value))
+            self.answer(sending.write_out.req, SATISFIED, value)
         self.ends.append((sending.write_out, outcome))
         self.settle()
 
