SIGHUP reads the configuration again and moves to its discovery

Now settings.load reads the file again, the file's discovery before LB_DISCOVERY; discovery.py drops the old watch and calls the new address at once, keeping its version, and its retries wait 1.2 s at most instead of 4.8 s, since what it has to tell counts 4 s after SIGHUP.

--- a/ivystack/__main__.py
+++ b/ivystack/__main__.py
@@ -16,6 +16,8 @@
 
 
 def main() -> int:
+    # Guards the start: a configuration replaced before it is read is no reason to end.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         run = load(os.environ)
     except FaultError as fault:
@@ -32,6 +34,7 @@
     proxy = Proxy(run, reactor)
     for name in (signal.SIGTERM, signal.SIGINT):
         signal.signal(name, lambda *_: reactor.callFromThread(proxy.terminate))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, proxy))
     reactor.callWhenRunning(start, proxy, reactor)
     reactor.run(installSignalHandlers=False)
     return 0 if proxy.started else 1
@@ -48,6 +51,16 @@
     gc.freeze()  # what is there now stays: later rounds need not look at it
 
 
+def reload(proxy) -> None:
+    """SIGHUP: the configuration is read again; one with a fault is told and the old one stays."""
+    try:
+        run = load(os.environ, again=True)
+    except FaultError as fault:
+        logger.error("configuration not taken: {}", fault)
+    else:
+        proxy.reload(run)
+
+
 def tell(event: dict) -> None:
     """Twisted's own troubles, among them what a connection's callback raised."""
     if event.get("isError"):
--- a/ivystack/net/discovery.py
+++ b/ivystack/net/discovery.py
@@ -40,7 +40,8 @@
 
 class Discovery:
     SILENT = 5_000_000  # two of its empty lines missed, and some
-    PAUSE, PAUSE_MOST = 100_000, 3_200_000  # before the next call; doubled a failure
+    # Before the next call; doubled a failure.  The most is short: the agent is near and costs nothing.
+    PAUSE, PAUSE_MOST = 100_000, 800_000
 
     def __init__(self, reactor, deadlines, now, rng: Random, address, told, ended=None):
         self.agent = Agent(reactor, connectTimeout=2)
@@ -51,6 +52,7 @@
         self.body: Lines | None = None
         self.call = None
         self.silence: list | None = None
+        self.next: list | None = None  # the deadline of the next call
         self.failures = 0
         self.stopped = False
 
@@ -61,6 +63,7 @@
     def watch(self) -> None:
         if self.stopped or self.call is not None or self.body is not None:
             return
+        self.deadlines.drop(self.next)
         url = PATH % (self.address[0].encode(), self.address[1], self.generation)
         self.heard()
         self.call = self.agent.request(b"GET", url)
@@ -118,7 +121,19 @@
         if self.ended:
             return self.ended(False)
         pause = min(self.PAUSE << min(self.failures, 8), self.PAUSE_MOST)
-        self.deadlines.at(self.now() + pause // 2 + self.rng.randrange(pause), self.watch)
+        self.next = self.deadlines.at(self.now() + pause // 2 + self.rng.randrange(pause), self.watch)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery is elsewhere from now on.  Its versions go on, so what is known stays known."""
+        if address == self.address or self.stopped:
+            return
+        self.address, self.failures = address, 0
+        if self.call is not None:
+            self.call.cancel()
+        elif self.body is not None:
+            self.broke("moved")
+        if self.ended is None:
+            self.watch()
 
     def stop(self) -> None:
         self.stopped = True
--- a/ivystack/net/peers.py
+++ b/ivystack/net/peers.py
@@ -16,9 +16,12 @@
     noisy = False
 
     def __init__(self, addresses: list[tuple[str, int]], told):
-        self.addresses, self.told = addresses, told
-        self.senders = set(addresses)
+        self.told = told
         self.broken = False
+        self.at(addresses)
+
+    def at(self, addresses: list[tuple[str, int]]) -> None:
+        self.addresses, self.senders = addresses, set(addresses)
 
     def say(self, peer: int, words: bytes) -> None:
         if self.transport is None or not 0 <= peer < len(self.addresses):
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -85,6 +85,14 @@
         logger.info("start name={} nodes={}", self.run.name, len(self.choice.nodes))
         self.settle()
 
+    def reload(self, run: Run) -> None:
+        """A new configuration: where discovery and the peers are changes at once, the rest with a start."""
+        for key in self.run.differs(run):
+            logger.warning("configuration: a new `{}` counts from the next start on", key)
+        logger.info("configuration taken discovery={}:{}", *run.discovery)
+        self.peers.at(run.peers)
+        self.discovery.move(run.discovery)
+
     def terminate(self) -> None:
         """A planned end: serve a little longer, then finish what is held."""
         port, self.port = self.port, None
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -181,6 +181,7 @@
     SOCKETS = 1024  # the usual limit of a process
 
     def __init__(self, config: Config):
+        self.config = config
         self.name = config.name or "proxy"
         self.listen = address(config.listen, "listen")
         self.discovery = address(config.discovery, "discovery")
@@ -197,8 +198,18 @@
         self.connect_timeout = self.settings.connect_timeout or self.CONNECT_TIMEOUT
 
 
-def load(environ: Mapping[str, str]) -> Run:
-    """What the environment says: the file that LB_CONFIG names, the other variables going before it."""
+    FIXED = ("name", "listen", "limits", "peer_listen", "settings")  # read at the start alone
+
+    def differs(self, other: Run) -> list[str]:
+        """The keys, of those that only a start reads, that say something else there."""
+        return [key for key in self.FIXED if getattr(self.config, key) != getattr(other.config, key)]
+
+
+def load(environ: Mapping[str, str], again: bool = False) -> Run:
+    """What the environment says: the file that LB_CONFIG names, the other variables going before it.
+
+    Read again, the file's `discovery` goes before LB_DISCOVERY: only it can have changed.
+    """
     path = environ.get("LB_CONFIG")
     if not path:
         raise FaultError("`LB_CONFIG`: not set; it names the configuration's file")
@@ -210,5 +221,6 @@
         raise FaultError(f"`LB_CONFIG`: not JSON: {fault}") from None
     if isinstance(values, dict):
         for key in ("name", "listen", "discovery"):
-            values[key] = environ.get(f"LB_{key.upper()}") or values.get(key)
+            told, kept = environ.get(f"LB_{key.upper()}"), values.get(key)
+            values[key] = kept or told if again and key == "discovery" else told or kept
     return Run(checked(values, Config))
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -4,6 +4,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 
 import pytest
@@ -18,10 +19,11 @@
     def start(**config):
         path = tmp_path / "config.json"
         path.write_text(json.dumps(config))
+        environ = {"LB_CONFIG": str(path), "LB_DISCOVERY": config["discovery"]}
         running.append(
             subprocess.Popen(
                 [sys.executable, "-B", "-m", "ivystack"],
-                env={**os.environ, "LB_CONFIG": str(path)},
+                env=os.environ | environ,
                 stderr=subprocess.PIPE,
             )
         )
@@ -33,6 +35,22 @@
         process.communicate()
 
 
+class Agent(threading.Thread):
+    """Discovery as far as it tells that it is called: takes one connection and keeps it open."""
+
+    def __init__(self):
+        super().__init__(daemon=True)
+        self.door = socket.create_server(("127.0.0.1", 0))
+        self.door.settimeout(10)
+        self.address = f"127.0.0.1:{self.door.getsockname()[1]}"
+        self.asked = b""
+        self.start()
+
+    def run(self):
+        self.one = self.door.accept()[0]
+        self.asked = self.one.recv(1000)
+
+
 def free_port():
     with socket.create_server(("127.0.0.1", 0)) as one:
         return one.getsockname()[1]
@@ -79,3 +97,21 @@
         assert asking.recv(100) == b""  # closed between reqs
     process.communicate(timeout=10)
     assert process.returncode == 0
+
+
+def test_sighup_moves_to_the_files_discovery_and_a_faulty_file_changes_nothing(started, tmp_path):
+    # Guards against ending on SIGHUP, and against staying with a discovery that closes.
+    port, old, new = free_port(), Agent(), Agent()
+    config = {"listen": f"127.0.0.1:{port}", "settings": {}}
+    process = started(**config, discovery=old.address)
+    connected(port).close()
+    old.join(10)
+    for text in ("{", json.dumps(config | {"discovery": new.address})):
+        (tmp_path / "config.json").write_text(text)
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.2)
+    new.join(10)
+    process.terminate()
+    _, told = process.communicate(timeout=10)
+    assert process.returncode == 0 and b"index=0" in old.asked and b"index=0" in new.asked
+    assert told.count(b"configuration not taken") == 1 and b"code=moved" in told
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -38,3 +38,13 @@
 def test_what_is_absent_or_null_gets_its_default():
     settings = Settings(1, {"limits": None, "methods": [{"name": "m", "give_up": 5_000}]})
     assert settings.choice.most == 1 and settings.methods["m"].latency_budget == 5
+
+
+def test_read_again_the_files_discovery_goes_before_the_environments(tmp_path):
+    first = loaded(tmp_path)
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(GOOD | {"discovery": "127.0.0.3:1", "limits": {"sockets": 99}}))
+    environ = {"LB_CONFIG": str(path), "LB_LISTEN": "127.0.0.2:7", "LB_DISCOVERY": "127.0.0.1:8500"}
+    run = load(environ, again=True)
+    assert (run.discovery, load(environ).discovery) == (("127.0.0.3", 1), ("127.0.0.1", 8500))
+    assert first.differs(run) == ["limits"]
