--- a/ivystack/net/discovery.py
+++ b/ivystack/net/discovery.py
@@ -66,20 +66,22 @@
         self.deadlines.drop(self.next)
         url = PATH % (self.address[0].encode(), self.address[1], self.generation)
         self.heard()
-        self.call = self.agent.request(b"GET", url)
-        self.call.addCallbacks(self.opened, self.failed)
-
-    def opened(self, response) -> None:
-        self.call = None
-        self.body = Lines(self)
-        response.deliverBody(self.body)
-        if response.code != 200:
+        call = self.call = self.agent.request(b"GET", url)
+        call.addCallbacks(self.opened, self.failed, (call,), errbackArgs=(call,))
+
+    def opened(self, response, call) -> None:
+        body, dropped = Lines(self), call is not self.call
+        if not dropped:
+            self.call, self.body = None, body  # first: what has come already is delivered at once
+        response.deliverBody(body)
+        if dropped:
+            body.transport.loseConnection()
+        elif response.code != 200 and self.body is body:
             self.broke(f"status-{response.code}")
 
-    def failed(self, reason) -> None:
-        self.call = None
-        kind = "refused" if reason.check(ConnectError) else reason.type.__name__
-        self.broke(kind)
+    def failed(self, reason, call) -> None:
+        if call is self.call:
+            self.broke("refused" if reason.check(ConnectError) else reason.type.__name__)
 
     def heard(self) -> None:
         self.deadlines.drop(self.silence)
@@ -87,8 +89,6 @@
 
     def silent(self) -> None:
         """Guards against a machine that vanished: its connection stays open and says nothing."""
-        if self.call is not None:
-            return self.call.cancel()  # ends in `failed`
         self.broke("silent")
 
     def line(self, line: bytes) -> None:
@@ -111,6 +111,9 @@
 
     def broke(self, code: str) -> None:
         self.deadlines.drop(self.silence)
+        call, self.call = self.call, None
+        if call is not None:
+            call.cancel()
         body, self.body = self.body, None
         if body is not None and body.transport is not None:
             body.transport.loseConnection()
@@ -128,9 +131,7 @@
         if address == self.address or self.stopped:
             return
         self.address, self.failures = address, 0
-        if self.call is not None:
-            self.call.cancel()
-        elif self.body is not None:
+        if self.call is not None or self.body is not None:
             self.broke("moved")
         if self.ended is None:
             self.watch()
