A spoilt answer is one failure, not a broken node that is back cold

A probe in pick counted why homes were out: 'cold' was the most, at nodes that had never restarted. Lines at fault: Nodes.lost told each write-out of a dropped connection as severed, several failures for one spoilt answer; Choice.after took severed for a process that is gone, and Health.answered then set the node's start to now, so that it was cold for seconds.

Now a spoilt answer is an error of its write-out, those behind it count as called off, and only refused connections make a node come back cold. An answer has three parts or it is none; the load report spoils no value; arrays are read only where a report stands. What lies behind an answer is read before the connection goes on, and an equal value within 5 ms on one connection is a copy.

Still open: clients with no room (1892 closed), silent ones.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -21,8 +21,8 @@
 
 from .model import (  # fmt: skip
     CLIENT_GONE, DEDUPLICATED, DONE, ERRORED, FAIL, FULL, GO, LEFT, MISSED, NACK, NON_RETRYABLE, OVERDUE,
-    READY, RECALLED, REFUSED, RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, WAIT, Method, Node, Req, Tenant,
-    WriteOut,
+    READY, RECALLED, REFUSED, RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, UNFIT, WAIT, Method, Node, Req,
+    Tenant, WriteOut,
 )
 
 NEVER_RAN = {FULL, REFUSED, SUPERSEDED, MISSED}  # the wire page: these endings prove it
@@ -596,7 +596,7 @@
             self.room.strained()
         elif outcome in (ERRORED, REFUSED, SEVERED, OVERDUE):
             if not write_out.doubted:
-                self.health.failed(node, outcome in (REFUSED, SEVERED), now)
+                self.health.failed(node, outcome == REFUSED, now)
             if outcome == OVERDUE:
                 method.times.append(spent)
                 self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node), often)
@@ -605,8 +605,8 @@
         if self.hearsay and outcome not in (RECALLED, SUPERSEDED):
             self.hearsay.note(node, outcome in (SATISFIED, MISSED), now)
         out = [w for w in req.write_outs if w.outcome is None]
-        if outcome == SATISFIED or req.over:
-            return (DONE, None, 0), out
+        if outcome in (SATISFIED, UNFIT) or req.over:
+            return (DONE if outcome != UNFIT or req.over else FAIL, None, 0), out
         if out:
             return (WAIT, None, 0), []
         if now >= self.end(req) or not self.may_send_again(req, now):
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -13,7 +13,7 @@
 GO, WAIT, NACK, FAIL, DONE = "go", "wait", "nack", "fail", "done"
 
 # How a write-out can end.
-SATISFIED, ERRORED, FULL, OVERDUE, REFUSED, SEVERED, RECALLED, SUPERSEDED, MISSED = (
+SATISFIED, ERRORED, FULL, OVERDUE, REFUSED, SEVERED, RECALLED, SUPERSEDED, MISSED, UNFIT = (
     "satisfied",
     "errored",
     "full",
@@ -23,6 +23,7 @@
     "recalled",
     "superseded",
     "missed",
+    "unfit",  # the node can't use such a req; nor could another
 )
 CLIENT_GONE = "client gone"  # no ending of a write-out: its req needs no answer any more
 
--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -13,7 +13,7 @@
 from twisted.internet.protocol import ServerFactory
 
 from ..model import NACK, SATISFIED
-from .resp import Resp, bulk
+from .resp import PARTS, Resp, bulk
 from .tables import Slots
 
 PONG, OK, BUSY, FAILED = b"+PONG\r\n", b"+OK\r\n", b"-BUSY\r\n", b"-ERR failed\r\n"
@@ -64,6 +64,7 @@
 
 class Client(Resp):
     value_at = 4
+    arrays_from = PARTS  # none
     only_arrays = True
     MOST = 32  # commands without an answer on one connection; what comes after stays unread
     PATIENCE = 10_000_000  # for a client that does not read its answers; our longest deadlines are below it
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -13,7 +13,7 @@
 from twisted.internet.protocol import ClientFactory
 
 from ..model import (  # fmt: skip
-    ERRORED, FULL, MISSED, OVERDUE, RECALLED, REFUSED, SATISFIED, SEVERED, SUPERSEDED, WriteOut,
+    ERRORED, FULL, MISSED, OVERDUE, RECALLED, REFUSED, SATISFIED, SEVERED, SUPERSEDED, UNFIT, WriteOut,
 )
 from . import tables
 from .resp import Resp
@@ -47,6 +47,8 @@
 class Link(Resp):
     """A connection to a node; answers come in the order of the write-outs on it."""
 
+    arrays_from = 2  # the load report; the value and how it went are none
+
     def __init__(self, nodes: Nodes, place: Place):
         super().__init__()
         self.nodes, self.place = nodes, place
@@ -54,6 +56,8 @@
         self.deadline: list | None = None
         self.carried = 0
         self.up = False
+        self.reading = False  # more may lie behind the answer just read
+        self.last = (0, 0)  # the value that came last, hashed, and when
         self.slot = nodes.links.put(self)
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -61,11 +65,21 @@
         self.transport.setTcpNoDelay(True)
         self.nodes.came_up(self)
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.reading = True
+        super().dataReceived(data)
+        self.reading = False
+        if self.code is None:
+            self.nodes.read(self)
+
     def received(self, value) -> None:
         self.nodes.answered(self, value)
 
     def malformed(self, why: str) -> None:
-        self.drop(f"strange: {why}")
+        report = [*self.open[0][0], None] if self.open and len(self.open[0][0]) == 2 else None
+        if self.out and report and outcome_of(report) == SATISFIED:
+            self.nodes.answered(self, report)  # the value is whole: a bad load report must not spoil it
+        self.nodes.spoilt(self, why)
 
     def connectionLost(self, reason) -> None:  # noqa: N802
         self.nodes.lost(self, self.ended(reason, "node"))
@@ -86,16 +100,23 @@
         self.link.nodes.lost(self.link, code)
 
 
-def outcome_of(value) -> str:
-    """
+def outcome_of(value) -> str | None:
+    """The outcome that an answer of the protocol's table proves; None if it is not in the table.
+
     >>> outcome_of([b"value", b"hit", None]), outcome_of("-BUSY"), outcome_of("-ERR failed")
     ('satisfied', 'full', 'errored')
+    >>> outcome_of("-ERR bad request"), outcome_of([b"value"]), outcome_of(":5"), outcome_of(None)
+    ('unfit', None, None, None)
     """
-    if isinstance(value, list) and value:
+    if isinstance(value, list) and len(value) == 3 and isinstance(value[1], bytes | None):
         if isinstance(value[0], bytes):
             return SATISFIED
-        return MISSED if value[0] is None and value[1:2] == [b"miss"] else ERRORED
-    return FULL if isinstance(value, str) and value.split(" ")[0] == "-BUSY" else ERRORED
+        return MISSED if value[0] is None and value[1] == b"miss" else None
+    if not isinstance(value, str) or not value.startswith("-"):
+        return None
+    if value.startswith(("-ERR bad", "-SYNTAX")):
+        return UNFIT
+    return FULL if value.split(" ")[0] == "-BUSY" else ERRORED
 
 
 class Nodes:
@@ -103,6 +124,7 @@
     PART = 3  # of the descriptors, one in so many is for nodes
     AHEAD = 0.8  # of the time after which a node closes an idle one, we do: theirs may cross a write-out
     FEW = 2  # connections to a node before a write-out goes behind others instead of on a new one
+    COPY = 5_000  # two equal values so soon after each other are one and its copy: each is made for its req
     LINGER = 1_000_000  # for an answer nobody waits for: most late ones come by then, a hung node's never
 
     def __init__(self, reactor, deadlines, now, ended, sockets, idle, connect_timeout, deep):
@@ -161,7 +183,7 @@
         while place.idle:
             link = place.idle[-1]
             self.no_longer_idle(link)
-            if not link.transport.disconnecting:
+            if link.code is None:
                 return self.write(link, sending)
         if len(place.links) >= self.FEW and self.deep > 1:
             fit = [link for link in place.links if link.up and link.code is None and self.fits(link)]
@@ -174,7 +196,7 @@
 
     def fits(self, link: Link) -> bool:
         """One more write-out can go behind those on it, none of which has been given up."""
-        return len(link.out) < self.deep and not any(sending.over for sending in link.out)
+        return len(link.out) < self.deep and not link.reading and not any(one.over for one in link.out)
 
     def open(self, place: Place) -> None:
         if len(place.opening) >= len(place.waiting) or len(place.links) >= self.EACH:
@@ -276,17 +298,44 @@
     def answered(self, link: Link, value) -> None:
         if not link.out:
             return link.drop("strange: an answer to nothing")
-        sending = link.out.popleft()
         outcome = outcome_of(value)
-        if outcome == ERRORED and value != "-ERR failed":
+        if outcome is None:
+            return self.spoilt(link, f"{value!r:.40}")
+        if outcome == SATISFIED:
+            # Guards the next req against a second copy of this answer that crossed its write-out.
+            last, link.last = link.last, (hash(value[0]), self.now())
+            if last[0] == link.last[0] and link.last[1] - last[1] < self.COPY:
+                return self.spoilt(link, "a second copy")
+        elif outcome in (ERRORED, UNFIT) and value != "-ERR failed":
             logger.warning("node {}: unexpected answer {!r:.80}", link.place.name, value)
+        sending = link.out.popleft()
         if not any(other.over for other in link.out):
             self.deadlines.drop(link.deadline)
-        if not link.out and link.code is None:
-            self.free(link)
         if not sending.over:
             self.end(sending, outcome, value[0] if outcome == SATISFIED else None)
 
+    def read(self, link: Link) -> None:
+        """All that came has been read: only now may the link carry the next write-out, whose answer could not
+        be told from what came too much before it."""
+        if link.out:
+            return
+        if not link.between():
+            link.drop("strange: more than an answer")
+        elif link not in self.resting:
+            self.free(link)
+
+    def spoilt(self, link: Link, why: str) -> None:
+        """What came is no answer: the write-out it came for has failed and may have run.  Those behind it get
+        no answer any more; that is held against the node once, not once for each."""
+        link.drop(f"strange: {why}")
+        self.end_all(link, ERRORED)
+
+    def end_all(self, link: Link, outcome: str) -> None:
+        for sending in [*link.out]:
+            if not sending.over:
+                self.end(sending, outcome)
+                outcome = RECALLED
+
     def lost(self, link: Link, code: str) -> None:
         place = link.place
         self.no_longer_idle(link)
@@ -295,8 +344,7 @@
         place.opening.pop(link, None)
         self.links.drop(link.slot)
         logger.info("end node={} link={} carried={} code={}", place.name, link.slot, link.carried, code)
-        for sending in link.out:
-            self.end(sending, SEVERED)
+        self.end_all(link, SEVERED)
         if failed and code != "connect-timeout" and place.waiting:  # of those each has a deadline of its own
             self.end(place.waiting[0], FULL if code == "no-descriptor" else REFUSED)
         for wanting in [place] if place.waiting else self.wanting():
--- a/ivystack/net/resp.py
+++ b/ivystack/net/resp.py
@@ -44,6 +44,7 @@
     delimiter = b"\r\n"
     MAX_LENGTH = 512
     value_at = 0  # which part of an outermost array may be as long as a value
+    arrays_from = 0  # the first part of an outermost array that may be an array itself
     only_arrays = False
     code: str | None = None  # why the connection ended, once one of the two sides has said so
 
@@ -76,7 +77,8 @@
         if mark in (b"$", b"*"):
             size = whole(line[1:])
         if mark == b"*" and size is not None:
-            if size > PARTS or len(self.open) >= DEEP:
+            early = self.open and len(self.open[0][0]) < self.arrays_from
+            if size > PARTS or len(self.open) >= DEEP or early:
                 return self.malformed("too many parts")
             if size > 0:
                 self.open.append(([], size))
@@ -97,6 +99,11 @@
         else:
             self.malformed("no value")
 
+    def between(self) -> bool:
+        """Nothing of a further value has come."""
+        held = self.clearLineBuffer()
+        return bool(self.line_mode) and not self.open and not held
+
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         if len(data) < self.missing:
             self.chunks.append(data)
