--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -67,14 +67,19 @@
     arrays_from = PARTS  # none
     only_arrays = True
     MOST = 32  # commands without an answer on one connection; what comes after stays unread
+    # For a whole command, from its first byte or from the connection's start: below the 3 s that clients
+    # which can't be served wait for a word at most.
+    WHOLE = 2_500_000
     PATIENCE = 10_000_000  # for a client that does not read its answers; our longest deadlines are below it
 
     def __init__(self, front: Front):
         super().__init__()
         self.front = front
-        self.owed: deque[list] = deque()  # answer or None, slot, bytes; in order of commands
+        self.owed: deque[list] = deque()  # answer or None, slot, bytes, id; in order of commands
         self.slot = -1
         self.asked = 0
+        self.since = 0  # when it came
+        self.half: list | None = None  # the deadline for a whole command
         self.stuck: list | None = None  # the deadline for reading what we have written
         self.blocked = False  # the transport holds more than it could pass on
 
@@ -82,15 +87,34 @@
         self.transport.setTcpNoDelay(True)
         self.slot = self.front.clients.put(self)
         self.transport.registerProducer(self, True)
-        self.front.idle[self] = None
+        self.since = self.front.now()
+        self.half = self.front.deadlines.at(self.since + self.WHOLE, self.half_said)
+        self.front.fresh[self] = None
         self.front.make_room(self)
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        super().dataReceived(data)
+        if self.deaf or self.paused or self.between():
+            self.front.deadlines.drop(self.half)
+            self.half = None
+        elif self.half is None:
+            self.half = self.front.deadlines.at(self.front.now() + self.WHOLE, self.half_said)
+
+    def half_said(self) -> None:
+        """Guards the descriptors against clients that say nothing, or half a command and no more."""
+        if not self.between():
+            self.malformed("half a command")
+        elif not self.owed:
+            self.leave("silent")
+
     def received(self, args) -> None:
         self.front.idle.pop(self, None)
+        self.front.deadlines.drop(self.half)
+        self.half = None
         self.asked += 1
         if not args or not all(isinstance(arg, bytes) for arg in args):
             return self.malformed("not a command")
-        place = [None, None, 0]
+        place = [None, None, 0, None]
         self.owed.append(place)
         name = args[0].upper()
         if name in WRITES:
@@ -105,8 +129,9 @@
         """Guards against taking bytes for commands that are none: what is owed goes out, and then the end."""
         self.front.idle.pop(self, None)
         self.deafen()
+        self.transport.pauseProducing()  # one that goes on sending at full speed would cost our time
         self.code = f"malformed: {why}"
-        self.owed.append([b"-ERR %b\r\n" % why.encode(), None, 0])
+        self.owed.append([b"-ERR %b\r\n" % why.encode(), None, 0, None])
         self.flush()
 
     def answer(self, place: list, text: bytes) -> None:
@@ -120,7 +145,7 @@
         if not self.owed and self.transport.connected:
             if self.deaf or self.front.stopping:
                 self.leave("stopping")
-            else:
+            elif self not in self.front.fresh:
                 self.front.idle[self] = None
                 self.front.idle.move_to_end(self)
         self.go_on()
@@ -131,6 +156,8 @@
 
     def leave(self, code: str) -> None:
         """Closes between commands; one that does not read its last answers is cut off."""
+        self.front.fresh.pop(self, None)
+        self.front.idle.pop(self, None)
         self.deafen()
         self.watch_reading()
         self.transport.unregisterProducer()  # a paused one would keep the transport from closing
@@ -155,22 +182,26 @@
 
     def connectionLost(self, reason) -> None:  # noqa: N802
         self.front.deadlines.drop(self.stuck)
+        self.front.deadlines.drop(self.half)
         self.front.lost(self, self.ended(reason, "client"))
 
 
 class Front(ServerFactory):
     noisy = False
-    HELD = 48 << 20  # bytes of values in hand; a quarter of the memory that a proxy mostly has
+    HELD = 8  # one byte in so many of the memory may be of values in hand
+    YOUNG = 100_000  # a usual client's first req is here by then
     SPARE = 32  # descriptors for all else: the list, peers, the log, Python's own
 
-    def __init__(self, deadlines, now, taken, gone, ready, methods, tenants, most: int):
+    def __init__(self, deadlines, now, taken, gone, ready, methods, tenants, most: int, memory: int):
         self.deadlines, self.now = deadlines, now
         self.taken, self.gone, self.ready = taken, gone, ready
         self.methods = {name.encode(): method for name, method in methods.items()}
         self.tenants = {name.encode(): tenant for name, tenant in tenants.items()}
-        self.most = most
+        self.most, self.held = most, memory // self.HELD
         self.clients = Slots()
-        self.idle: OrderedDict[Client, None] = OrderedDict()  # nothing owed, longest idle first
+        self.fresh: OrderedDict[Client, None] = OrderedDict()  # no req of theirs was taken yet; oldest first
+        self.idle: OrderedDict[Client, None] = OrderedDict()  # of the others; longest idle first
+        self.ids: set[bytes] = set()  # of the reqs in hand
         self.stopping = False
         self.bytes = 0  # of values in hand
 
@@ -178,11 +209,13 @@
         return Client(self)
 
     def make_room(self, new: Client) -> None:
-        """Guards the descriptors: a new client is worth more than one that has long asked nothing."""
-        if len(self.clients) > self.most:
-            oldest = next((client for client in self.idle if client is not new), new)
-            self.idle.pop(oldest, None)
-            oldest.leave("no-room")
+        """Guards the descriptors: first go those that asked nothing of use, then the one idle longest."""
+        if len(self.clients) <= self.most:
+            return
+        oldest = next(iter(self.fresh))
+        if oldest.since > self.now() - self.YOUNG and self.idle:
+            oldest = next(iter(self.idle))
+        oldest.leave("no-room")
 
     def plain(self, name: bytes) -> bytes:
         if name == b"PING":
@@ -201,15 +234,28 @@
             method = self.methods.get(fields.get(b"c"))
             if method is None or wait is None:
                 fault = b"-ERR a class c= and a wait d= are wanted\r\n"
-            elif self.bytes > self.HELD:  # guards the memory; nothing of it has run
+            elif not args[1] or not args[2]:
+                fault = b"-ERR a key and an id are wanted\r\n"
+            elif args[2] in self.ids:  # another req's, or sent twice: two answers could not be told apart
+                fault = b"-ERR the id is in use\r\n"
+            elif self.bytes > self.held:  # guards the memory; nothing of it has run
                 fault = BUSY
         if fault:
             place[0] = fault
             return
+        self.fresh.pop(client, None)
+        ident = args[2]
+        self.ids.add(ident)
         place[2] = len(args[-1])
         self.bytes += place[2]
+
+        def reply(word: str, what: bytes | int) -> None:
+            self.ids.discard(ident)
+            client.answer(place, told(word, what))
+
+        place[3] = ident
         place[1] = self.taken(
-            lambda word, what: client.answer(place, told(word, what)),
+            reply,
             Frame(args, wait.span(1)),
             method,
             int(wait[1]) * 1000,
@@ -221,6 +267,7 @@
 
     def lost(self, client: Client, code: str) -> None:
         self.idle.pop(client, None)
+        self.fresh.pop(client, None)
         self.clients.drop(client.slot)
         owed = [place for place in client.owed if place[0] is None]
         logger.info("end client={} asked={} open={} code={}", client.slot, client.asked, len(owed), code)
@@ -228,9 +275,11 @@
         for place in owed:
             if place[0] is None:  # telling of one may have ended another
                 self.bytes -= place[2]
+                self.ids.discard(place[3])
                 self.gone(place[1])
 
     def stop(self) -> None:
         self.stopping = True
-        for client in [*self.idle]:
-            client.leave("stopping")
+        for client in [*self.idle, *self.fresh]:
+            if not client.owed:
+                client.leave("stopping")
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -37,6 +37,7 @@
 
 class Proxy:
     LAST = 2_000  # after its end a req is answered whatever the decisions do; they come first
+    AT_ONCE = 16  # clients accepted in one go: with no room so many make way only after it, of Front.SPARE
     STAY = 500_000  # served on after SIGTERM: new connections go on coming for part of it
 
     def __init__(self, run: Run, reactor, now=None):
@@ -57,7 +58,7 @@
         most = run.sockets - self.nodes.most - Front.SPARE
         self.front = Front(
             self.deadlines, self.now, self.taken, self.gone, self.ready,
-            self.settings.methods, self.settings.tenants, most,
+            self.settings.methods, self.settings.tenants, most, run.memory,
         )  # fmt: skip
         self.discovery = Discovery(
             reactor, self.deadlines, self.now, Random(run.seed + 1), run.discovery, self.listed,
@@ -80,6 +81,7 @@
         self.port = self.reactor.listenTCP(
             self.run.listen[1], self.front, backlog=512, interface=self.run.listen[0]
         )
+        self.port.numberAccepts = self.AT_ONCE
         if not self.settings.asks:
             self.discovery.watch()
         logger.info("start name={} nodes={}", self.run.name, len(self.choice.nodes))
--- a/ivystack/net/resp.py
+++ b/ivystack/net/resp.py
@@ -101,8 +101,7 @@
 
     def between(self) -> bool:
         """Nothing of a further value has come."""
-        held = self.clearLineBuffer()
-        return bool(self.line_mode) and not self.open and not held
+        return bool(self.line_mode) and not self.open and not self._buffer  # LineReceiver's own
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         if len(data) < self.missing:
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -87,6 +87,7 @@
 
 class MachineSheet(Struct):
     sockets: Annotated[int, Meta(ge=64)] | None = None
+    memory_mb: Annotated[float, Meta(gt=0)] | None = None
 
 
 class Config(Struct):
@@ -179,6 +180,7 @@
 
     IDLE, CONNECT_TIMEOUT = 60_000_000, 1_000_000  # where the settings name none
     SOCKETS = 1024  # the usual limit of a process
+    MEMORY_MB = 192
 
     def __init__(self, config: Config):
         self.config = config
@@ -192,7 +194,9 @@
         except ValueError:
             raise FaultError(f"`seed`: wanted a hexadecimal number, got {config.seed!r}") from None
         self.known = config.known
-        self.sockets = (config.limits or MachineSheet()).sockets or self.SOCKETS
+        limits = config.limits or MachineSheet()
+        self.sockets = limits.sockets or self.SOCKETS
+        self.memory = int((limits.memory_mb or self.MEMORY_MB) * 2**20)
         self.settings = Settings(self.seed, config.settings)
         self.idle = self.settings.idle or self.IDLE
         self.connect_timeout = self.settings.connect_timeout or self.CONNECT_TIMEOUT
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -110,7 +110,7 @@
 def test_values_in_hand_are_bounded():
     # Guards the memory: hundreds of clients may each have some values of 64 KiB open.
     made = proxy()
-    made.front.bytes = made.front.HELD + 1
+    made.front.bytes = made.front.held + 1
     asking = client(made)
     asking.dataReceived(get())
     assert asking.transport.took() == b"-BUSY\r\n"
@@ -145,6 +145,7 @@
 def test_a_client_that_does_not_read_is_cut_off():
     made = proxy()
     asking = client(made)
+    asking.dataReceived(command(b"PING"))
     asking.pauseProducing()  # as the transport does when it can't pass on more
     made.reactor.advance(asking.PATIENCE / S + 1)
     assert asking.transport.disconnected and asking.code == "slow-reader"
@@ -173,9 +174,54 @@
     made = proxy()
     made.front.most = 2
     first, second = client(made), client(made)
-    first.dataReceived(command(b"PING"))
+    first.dataReceived(get(b"1"))
+    second.dataReceived(get(b"2") + command(b"PING"))
+    for number in (0, 1):
+        link(made, number).dataReceived(hit())
     client(made)
-    assert second.transport.disconnecting and not first.transport.disconnecting
+    assert first.transport.disconnecting and not second.transport.disconnecting
+
+
+def test_one_that_asked_nothing_of_use_makes_way_before_usual_clients():
+    # Guards usual clients against hundreds that connect and say nothing, or nothing that can be served.
+    made = proxy()
+    made.front.most = 3
+    usual, silent, useless = client(made), client(made), client(made)
+    usual.dataReceived(get())
+    link(made).dataReceived(hit())
+    useless.dataReceived(get(fields=b"c=none,d=5"))
+    made.reactor.advance(made.front.YOUNG / S)
+    client(made), client(made)
+    assert silent.transport.disconnecting and useless.transport.disconnecting
+    assert usual.asked == 1 and not usual.transport.disconnecting
+
+
+def test_silent_and_half_said_clients_are_closed_and_usual_ones_stay():
+    # Guards the descriptors: such clients would hold them for good.
+    made = proxy()
+    silent, half, later, usual = (client(made) for _ in range(4))
+    half.dataReceived(get()[:-3])
+    for one in (later, usual):
+        one.dataReceived(command(b"PING"))
+    later.dataReceived(b"*2")
+    made.reactor.advance(made.front.buildProtocol(None).WHOLE / S)
+    assert silent.transport.took() == b"" and silent.code == "silent" and silent.transport.disconnecting
+    for one in (half, later):
+        assert one.transport.took().endswith(b"-ERR half a command\r\n") and one.transport.disconnecting
+    made.reactor.advance(60)
+    assert not usual.transport.disconnecting
+
+
+def test_no_id_and_an_id_in_use_get_an_error_and_no_value():
+    # Guards against answering one client's req with what was made for another's.
+    made = proxy()
+    asking, other = client(made), client(made)
+    asking.dataReceived(get(b"1"))
+    for ident, key in ((b"", b"7f"), (b"1", b"7f"), (b"2", b"")):
+        other.dataReceived(get(ident, key))
+        assert other.transport.took().startswith(b"-ERR ")
+    link(made).dataReceived(hit())
+    assert asking.transport.took() == b"$1\r\nv\r\n" and other.transport.took() == b"" and not made.front.ids
 
 
 def test_an_answer_out_of_time_is_given_up_with_its_connection():
