Windows grow until the least worth has a place; chance time-outs take two off

Windows stood at 6 to 13 with 2 to 5 write-outs out, so the lower third of the ranks found none of its part free. Lines at fault: Room.ran_out halved a window at each time-out, also the 1 to 2% that are long work, and Room.answered let it grow beyond START only where half of it was in use. At the earlier rates a node had less than one write-out of ours, so it did not show.

A time-out after eight answers in a row now takes DROP (two) as it does off the origin's; one sooner still halves. Growth goes on while the least worth finds no place.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -250,7 +250,8 @@
     # Of a small window, an answer, times the answers in a row: half of them timing out hold it down, as in a
     # jam, but not the one in eight that cold keys may bring at any load.
     GROWTH = 0.1
-    DROP = 2.0  # at most, off the origin's: it has what all caches miss, so chance alone often times one out
+    DROP = 2.0  # at most, off the origin's: it has all that caches miss, so chance often times one out;
+    CHANCE = 8  # and off a cache's after so many answers in a row: one in eight is that of cold keys, see above
     FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
     # Of the common share: one in eleven out of time leaves all, one in four a third, one in two a tenth.
@@ -283,7 +284,8 @@
         node.in_time += 1
         self.told(node, True)
         self.common = min(1.0, self.common + self.BACK_ALL)
-        if node.window < self.START or 2 * node.in_flight >= node.window - 1:  # beyond: only one in use
+        # Beyond: only while the least worth finds no place: rank shall not bind where nothing is strained.
+        if node.window < self.START or Shares.LEAST * node.window < node.in_flight + 1:
             growth = min(self.GROWTH * node.in_time * node.window, 1 / node.window)
             node.window = min(self.MOST, node.window + growth)
 
@@ -294,12 +296,11 @@
         self.common = max(self.CLOSED, self.common * left)
 
     def ran_out(self, node: Node, origin: bool, up: bool, often: bool = False) -> None:
-        node.in_time = 0
+        chance, node.in_time = origin or node.in_time >= self.CHANCE, 0
         self.told(node, False, self.FALL_ALL if often else self.FALL)
         if up:  # further failures in a row are the node's own
             self.strained()
-        left = node.window * self.FALL
-        node.window = max(self.LEAST, left, node.window - self.DROP if origin else 0)
+        node.window = max(self.LEAST, node.window * self.FALL, node.window - self.DROP if chance else 0)
 
 
 class Shares:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -252,6 +252,28 @@
     assert before - 2 <= origin.window < before
 
 
+def test_a_time_out_after_many_answers_takes_little_off_a_window_and_a_jam_halves_it():
+    # Guards the least worth: halved at each chance time-out, windows turned it away at unstrained nodes.
+    made = choice(nodes(1))
+    node = made.nodes["n00"]
+    for _ in range(2 * made.room.CHANCE):
+        made.room.answered(node, False)
+    before = node.window
+    made.room.ran_out(node, False, True)
+    assert node.window == before - made.room.DROP
+    made.room.ran_out(node, False, True)
+    assert node.window == (before - made.room.DROP) / 2
+
+
+def test_windows_grow_until_the_least_worth_has_a_place():
+    made = choice(nodes(1))
+    node = made.nodes["n00"]
+    node.in_flight = 3
+    for _ in range(3000):
+        made.room.answered(node, False)
+    assert made.room.has(node, made.shares.LEAST, 0) and node.window < 42
+
+
 def test_a_small_window_grows_faster_with_each_answer_in_a_row():
     made = choice(nodes(1))
     node = made.placement.slots[0]
