--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -251,7 +251,7 @@
     # jam, but not the one in eight that cold keys may bring at any load.
     GROWTH = 0.1
     DROP = 2.0  # at most, off the origin's: it has all that caches miss, so chance often times one out;
-    CHANCE = 8  # and off a cache's after so many answers in a row: one in eight is that of cold keys, see above
+    CHANCE = 8  # and off a cache's after so many answers in a row: one in eight is cold keys', see above
     FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
 
     # Of the common share: one in eleven out of time leaves all, one in four a third, one in two a tenth.
