Six connections to a node, the longest idle next; what is known of a node goes with it

Nodes.FEW was chosen when a node had less than one write-out of ours.

Six, or what fits the table over the fleet.

Nodes.places and Choice.nodes kept every id ever listed; both now let a node go once no slot awaits it and nothing is out there; Hearsay.marked is made anew from those.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -15,6 +15,7 @@
 
 import heapq
 from collections import OrderedDict, deque
+from collections.abc import Iterable
 from hashlib import blake2b
 from math import ceil
 from random import Random
@@ -89,8 +90,8 @@
 class Placement:
     """Which caches a key lives on: slots in order of first start, a walk down the key's digits."""
 
-    # How many keys' places are kept: a few MB at most.  A list change that moves a slot drops them all.
-    KEPT = 20_000
+    # How many keys' places are kept: about 1 MB.  A list change that moves a slot drops them all.
+    KEPT = 4_000
     # A cache that left unasked (it crashed) keeps its slot this long: longer than the outages of the brief's
     # troubles, so that one coming back finds its keys; a machine that never returns costs its share of
     # spares.
@@ -437,8 +438,8 @@
     def mark(self, node: Node) -> bytes:
         return blake2b(node.name.encode(), digest_size=self.SIZE - 1).digest()
 
-    def knows(self, nodes: list[Node]) -> None:
-        self.marked.update((self.mark(node), node) for node in nodes)
+    def knows(self, nodes: Iterable[Node]) -> None:
+        self.marked = {self.mark(node): node for node in nodes}
 
     def told(self, words: bytes) -> list[tuple[Node, bool]]:
         parts = [words[at : at + self.SIZE] for at in range(0, len(words), self.SIZE)]
@@ -498,9 +499,7 @@
         """List news: nodes as now listed.  One known before is taken over under the object that is known."""
         for new in nodes:
             node = self.nodes.setdefault(new.name, new)
-            node.window = node.window or (
-                self.room.MOST if node.kind == self.origin_kind else self.room.START
-            )
+            node.window = node.window or (Room.MOST if node.kind == self.origin_kind else Room.START)
             if node is not new:
                 if new.started != node.started and new.state == READY and new.started > node.started:
                     node.started, node.failures, node.trials = new.started, 0, 0
@@ -515,12 +514,13 @@
                 if node.name not in names and node.state != LEFT:
                     node.state, node.left_at = LEFT, now
         caches = [node for node in self.nodes.values() if node.kind != self.origin_kind]
-        self.origins = [
-            node for node in self.nodes.values() if node.kind == self.origin_kind and node.state == READY
-        ]
+        self.origins = [n for n in self.nodes.values() if n.kind == self.origin_kind and n.state == READY]
         self.placement.settle(caches, now)
+        # What is known of a node goes with it, once no slot awaits it: guards the memory, ids are ever new.
+        kept = {*self.placement.slots, *(n for n in self.nodes.values() if n.state != LEFT or n.in_flight)}
+        self.nodes = {name: node for name, node in self.nodes.items() if node in kept}
         if self.hearsay:
-            self.hearsay.knows(nodes)
+            self.hearsay.knows(self.nodes.values())
 
     def told(self, words: bytes, now: int) -> None:
         """A peer's message: news like the list's."""
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -38,7 +38,9 @@
     def __init__(self, name: str, address: tuple[str, int]):
         self.name, self.address = name, address
         self.ready = True  # as listed
-        self.idle: list[Link] = []  # the last one used is the next one used
+        # The one used longest ago is the next one used: an end that crosses a write-out mostly comes right
+        # after an answer, and all stay in use.
+        self.idle: deque[Link] = deque()
         self.waiting: deque[Sending] = deque()
         self.links: dict[Link, None] = {}
         self.opening: dict[Link, object] = {}  # with the connector of each
@@ -123,7 +125,7 @@
     EACH = 16  # connections to one node: some times what is out there at once, a part of its table
     PART = 3  # of the descriptors, one in so many is for nodes
     AHEAD = 0.8  # of the time after which a node closes an idle one, we do: theirs may cross a write-out
-    FEW = 2  # connections to a node before a write-out goes behind others instead of on a new one
+    FEW = 6  # connections to a node before a write-out goes behind others instead of on a new one
     COPY = 5_000  # two equal values so soon after each other are one and its copy: each is made for its req
     LINGER = 1_000_000  # for an answer nobody waits for: most late ones come by then, a hung node's never
 
@@ -161,6 +163,12 @@
             for sending in [*place.waiting]:
                 self.end(sending, SUPERSEDED)
 
+    def keep(self, names) -> None:
+        """Guards the memory: a node's place goes once it is not named any more and has no connection left."""
+        for place in [*self.places.values()]:
+            if place.name not in names and not place.links and not place.waiting:
+                del self.places[place.name]
+
     def release(self, name: str) -> None:
         if name in self.places:
             self.leave(self.places[name], "released")
@@ -181,11 +189,12 @@
         place = sending.place = self.places[name]
         sending.until.append(self.deadlines.at(until, self.out_of_time, sending))
         while place.idle:
-            link = place.idle[-1]
+            link = place.idle[0]
             self.no_longer_idle(link)
             if link.code is None:
                 return self.write(link, sending)
-        if len(place.links) >= self.FEW and self.deep > 1:
+        few = min(self.FEW, max(2, self.most // len(self.places)))  # all nodes' shall fit our table
+        if len(place.links) >= few and self.deep > 1:
             fit = [link for link in place.links if link.up and link.code is None and self.fits(link)]
             if fit:
                 return self.write(min(fit, key=lambda link: len(link.out)), sending)
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -260,6 +260,7 @@
         self.choice.listed(nodes, whole, self.now())
         for node in self.choice.nodes.values():
             self.nodes.listed(node.name, node.state == READY)
+        self.nodes.keep(self.choice.nodes)
         self.settle()
 
     def entry(self, entry: dict) -> Node:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -481,6 +481,7 @@
 
 def crowd(made):
     """Five reqs of one key, on two connections to the one node, and the client."""
+    made.nodes.FEW = 2
     asking = client(made)
     asking.dataReceived(get(b"1") + get(b"2"))
     links = [link(made, 0), link(made, 1)]
@@ -575,3 +576,20 @@
     link(made).dataReceived(b"-ERR bad request\r\n")
     assert asking.transport.took() == b"-ERR failed\r\n" and len(made.reactor.tcpClients) == 1
     assert not any(node.failures for node in made.choice.nodes.values())
+
+
+def test_what_is_known_of_a_node_goes_with_it():
+    # Guards the memory: a fleet that is replaced all day has ever new ids.
+    made = proxy(2)
+    client(made).dataReceived(get())
+    busy = link(made)
+    for number in range(50):
+        made.listed(entries(1, "DRAINING", instanceId=f"x{number}", weight=1.0), False)
+        made.listed(entries(1, "DELETED", instanceId=f"x{number}"), False)
+    made.listed(entries(2, "DRAINING"), False)
+    made.listed(entries(2, "DELETED"), False)
+    assert [*made.choice.nodes] == [*made.nodes.places] == [busy.place.name]  # its write-out is still out
+    busy.dataReceived(hit())
+    busy.connectionLost(Failure(ConnectionDone()))
+    made.listed([], False)
+    assert not made.choice.nodes and not made.nodes.places
