Answers of up to 1 MiB are read; the first break of a kept connection blames no node

A probe showed whole answers of 128 to 397 KB, beyond the protocol's 64 KiB; resp.py's bound dropped them, and all behind them.

Nodes.lost told severed, a failure in a row, though the node was well.

--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -38,6 +38,7 @@
     def __init__(self, name: str, address: tuple[str, int]):
         self.name, self.address = name, address
         self.ready = True  # as listed
+        self.broke = 0  # connections in a row that ended under a write-out
         # The one used longest ago is the next one used: an end that crosses a write-out mostly comes right
         # after an answer, and all stay in use.
         self.idle: deque[Link] = deque()
@@ -49,6 +50,7 @@
 class Link(Resp):
     """A connection to a node; answers come in the order of the write-outs on it."""
 
+    most = 1 << 20  # some nodes answer with several times the protocol's bound; one with GB is caught
     arrays_from = 2  # the load report; the value and how it went are none
 
     def __init__(self, nodes: Nodes, place: Place):
@@ -56,7 +58,7 @@
         self.nodes, self.place = nodes, place
         self.out: deque[Sending] = deque()  # in order; over already where nobody waits for its answer
         self.deadline: list | None = None
-        self.carried = 0
+        self.carried = self.answers = 0
         self.up = False
         self.reading = False  # more may lie behind the answer just read
         self.last = (0, 0)  # the value that came last, hashed, and when
@@ -318,6 +320,8 @@
         elif outcome in (ERRORED, UNFIT) and value != "-ERR failed":
             logger.warning("node {}: unexpected answer {!r:.80}", link.place.name, value)
         sending = link.out.popleft()
+        link.answers += 1
+        link.place.broke = 0
         if not any(other.over for other in link.out):
             self.deadlines.drop(link.deadline)
         if not sending.over:
@@ -353,7 +357,11 @@
         place.opening.pop(link, None)
         self.links.drop(link.slot)
         logger.info("end node={} link={} carried={} code={}", place.name, link.slot, link.carried, code)
-        self.end_all(link, SEVERED)
+        if any(not sending.over for sending in link.out):
+            # Guards against taking the end of a connection that was kept for the node's: the first says nothing
+            # of the node, but what was out may have run.
+            place.broke += 1
+            self.end_all(link, RECALLED if place.broke == 1 and link.answers else SEVERED)
         if failed and code != "connect-timeout" and place.waiting:  # of those each has a deadline of its own
             self.end(place.waiting[0], FULL if code == "no-descriptor" else REFUSED)
         for wanting in [place] if place.waiting else self.wanting():
--- a/ivystack/net/resp.py
+++ b/ivystack/net/resp.py
@@ -43,6 +43,7 @@
 
     delimiter = b"\r\n"
     MAX_LENGTH = 512
+    most = VALUE  # bytes of a value
     value_at = 0  # which part of an outermost array may be as long as a value
     arrays_from = 0  # the first part of an outermost array that may be an array itself
     only_arrays = False
@@ -90,7 +91,7 @@
             if size < 0:
                 return self.part(None)
             long = not self.open or (len(self.open) == 1 and len(self.open[0][0]) == self.value_at)
-            if size > (VALUE if long else SHORT):
+            if size > (self.most if long else SHORT):
                 return self.malformed("too long")
             self.missing = size + 2
             self.setRawMode()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -593,3 +593,28 @@
     busy.connectionLost(Failure(ConnectionDone()))
     made.listed([], False)
     assert not made.choice.nodes and not made.nodes.places
+
+
+def test_the_first_break_of_a_kept_connection_is_not_held_against_its_node():
+    # Guards against taking a node out because connections kept for long end under the next write-out.
+    made = proxy()
+    asking, outcomes = client(made), outcomes_of(made)
+    asking.dataReceived(get(b"1"))
+    link(made).dataReceived(hit())
+    asking.dataReceived(get(b"2"))
+    made.nodes.links[0].connectionLost(Failure(ConnectionLost()))
+    asking.dataReceived(get(b"3"))
+    link(made).connectionLost(Failure(ConnectionLost()))
+    assert outcomes[:3] == [SATISFIED, RECALLED, SEVERED] and made.choice.nodes["n0"].failures == 1
+
+
+def test_answers_beyond_the_protocols_bound_are_passed_on_and_those_of_gigabytes_are_not():
+    made = proxy()
+    asking = client(made)
+    asking.dataReceived(get())
+    node = link(made)
+    node.dataReceived(hit(b"v" * 400_000))
+    assert len(asking.transport.took()) > 400_000
+    asking.dataReceived(get(b"2"))
+    node.dataReceived(b"*3\r\n$900000000\r\n")
+    assert node.code == "strange: too long"
