A lone time-out at a node met often takes a quarter off its window

A jam shows as time-outs in a row. Where a node was heard from in the last half second, the first of a row now counts as a failure and takes a quarter off; light proxies learn as before.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -584,7 +584,8 @@
                 self.shares.answered(req.key)
         elif outcome == OVERDUE and 2 * (write_out.until - write_out.sent) < method.latency_budget:
             pass  # it went out late: not the node's doing, and above all not the origin's after a slow miss
-        elif outcome == OVERDUE and self.passed_by(write_out):
+        elif outcome == OVERDUE and (self.passed_by(write_out) or (often and not node.failures)):
+            node.failures += not (write_out.doubted or self.passed_by(write_out))
             node.window = max(min(node.window, 1.0), node.window - self.room.NUDGE)
         elif outcome == ERRORED and 2 * spent >= method.latency_budget:
             # Slow errors are fetches that ran out of time: the origin behind all is pressed, not the node.
@@ -773,10 +774,8 @@
 
     def sick(self, node: Node, method: Method) -> Node | Errors | None:
         """What keeps a method's reqs from a node: failures of the node, or its errors to that method."""
-        if not self.health.up(node):
-            return node
-        errors = node.errors.get(method)
-        return None if errors is None or self.health.up(errors) else errors
+        errors = node.errors.get(method, node)
+        return next((one for one in (node, errors) if not self.health.up(one)), None)
 
     # Standing reqs.
 
