Idle clients beyond a part are closed after 2 s, where many crowd in after 0.1 s

A probe: the decisions saw a fifth of the reqs and nacked 5% of these; 125 of 224 connections were idle after one req, 3,112 ended as no-room. Clients may hold a third of the descriptors (128), so connections that ask once and stay had all of it and the others never reached us; make_room (front.py) acts only when our own larger table is full.

--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -78,7 +78,7 @@
         self.owed: deque[list] = deque()  # answer or None, slot, bytes, id; in order of commands
         self.slot = -1
         self.asked = 0
-        self.since = 0  # when it came
+        self.since = 0  # when it came, or was answered last
         self.half: list | None = None  # the deadline for a whole command
         self.stuck: list | None = None  # the deadline for reading what we have written
         self.blocked = False  # the transport holds more than it could pass on
@@ -146,8 +146,10 @@
             if self.deaf or self.front.stopping:
                 self.leave("stopping")
             elif self not in self.front.fresh:
+                self.since = self.front.now()
                 self.front.idle[self] = None
                 self.front.idle.move_to_end(self)
+                self.front.tidy(self.since)
         self.go_on()
 
     def go_on(self) -> None:
@@ -189,6 +191,10 @@
 class Front(ServerFactory):
     noisy = False
     HELD = 8  # one byte in so many of the memory may be of values in hand
+    KEEP = 7  # one in so many of the connections may be idle for long
+    # Idle ones beyond that are closed after the first, beyond twice as many after the second: where hundreds
+    # a second ask once and stay, the part of the descriptors that clients may hold is soon gone.
+    IDLE, SOON = 2_000_000, 100_000
     YOUNG = 100_000  # a usual client's first req is here by then
     SPARE = 32  # descriptors for all else: the list, peers, the log, Python's own
 
@@ -208,6 +214,16 @@
     def buildProtocol(self, addr):  # noqa: N802
         return Client(self)
 
+    def tidy(self, now: int) -> None:
+        """Guards usual clients, who may hold but a part of the descriptors, against connections that ask once
+        and stay for good."""
+        kept = self.most // self.KEEP
+        while len(self.idle) > kept:
+            oldest = next(iter(self.idle))
+            if now - oldest.since < (self.IDLE if len(self.idle) <= 2 * kept else self.SOON):
+                return
+            oldest.leave("idle")
+
     def make_room(self, new: Client) -> None:
         """Guards the descriptors: first go those that asked nothing of use, then the one idle longest."""
         if len(self.clients) <= self.most:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -620,3 +620,18 @@
     asking.dataReceived(get(b"2"))
     node.dataReceived(b"*3\r\n$900000000\r\n")
     assert node.code == "strange: too long"
+
+
+def test_idle_clients_beyond_a_part_are_closed_the_longest_idle_first():
+    # Guards usual clients against those that ask once and keep their connection for good.
+    made = proxy()
+    made.front.most = 2 * made.front.KEEP
+    asking = []
+    for number in range(5):
+        made.reactor.advance(1)
+        asking.append(client(made))
+        asking[-1].dataReceived(get(b"%d" % number))
+        for one in [*made.nodes.links.values()] or [link(made)]:
+            if one.out:
+                one.dataReceived(hit())
+    assert [one.code for one in asking] == ["idle", "idle", None, None, None]
