--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -145,7 +145,8 @@
         if not self.owed and self.transport.connected:
             if self.deaf or self.front.stopping:
                 self.leave("stopping")
-            elif self not in self.front.fresh:
+            elif self.asked:
+                self.front.fresh.pop(self, None)
                 self.since = self.front.now()
                 self.front.idle[self] = None
                 self.front.idle.move_to_end(self)
@@ -205,7 +206,7 @@
         self.tenants = {name.encode(): tenant for name, tenant in tenants.items()}
         self.most, self.held = most, memory // self.HELD
         self.clients = Slots()
-        self.fresh: OrderedDict[Client, None] = OrderedDict()  # no req of theirs was taken yet; oldest first
+        self.fresh: OrderedDict[Client, None] = OrderedDict()  # have said nothing whole yet; oldest first
         self.idle: OrderedDict[Client, None] = OrderedDict()  # of the others; longest idle first
         self.ids: set[bytes] = set()  # of the reqs in hand
         self.stopping = False
