--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -414,8 +414,10 @@
     little; failures in a row stay our own.
     """
 
-    EVERY = 1_000_000  # a message: a light proxy has a few endings to tell by then
-    TO = 8  # peers each, drawn anew: everyone then hears of several times the endings of its own
+    # A message: well below the time in which forty proxies, none of which has seen it, jam a node (1 s or
+    # less); that of each second's endings came when it was over.  Bytes are counted, not messages.
+    EVERY = 250_000
+    TO = 12  # peers each, drawn anew: everyone then hears of that many times the endings of its own
     SIZE = 4  # bytes an ending: three of the node's name, hashed, and how it ended
 
     def __init__(self, rng: Random, me: int, proxies: int):
