Two slow answers in a row make a node's shares ebb, one alone does not

At fault: one answer beyond three quarters of the budget ebbed the shares; a miss at a one-core node takes that long in calm. Change: two in a row at a node.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -264,7 +264,7 @@
     BACK = 0.15
 
     # Of both is left after a slow answer, of such a part of the latency budget: where a miss is told at once,
-    # half of it is a queue; elsewhere a miss may take that long.
+    # half of it is a queue; elsewhere a miss may take that long, so two in a row have to be.
     EBB, SLOW_ASIDE, SLOW = 0.92, 0.5, 0.75
     FRESH = 500_000  # what the node itself showed this lately goes before what all show: some answers' time
 
@@ -586,7 +586,9 @@
             method.times.append(spent)
             aside = self.origin_kind not in (-1, node.kind)
             part = self.room.SLOW_ASIDE if aside else self.room.SLOW
-            self.room.answered(node, spent > part * method.latency_budget)
+            slow, before = spent > part * method.latency_budget, node.slow
+            node.slow = slow
+            self.room.answered(node, slow and (aside or before))
             if outcome == SATISFIED:
                 self.spare = min(self.FURTHER_MOST, self.spare + self.FURTHER)
                 self.shares.answered(req.key)
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -68,6 +68,7 @@
     errors: dict = field(default_factory=dict)  # by method: answered with an error last
     heard: int = -1_000_000_000  # when a write-out there last ended
     in_time: int = 0  # answers in a row
+    slow: bool = False  # the last answer was, for its latency budget
     window: float = 0.0  # own write-outs it bears at once
     share: float = 1.0  # of the reqs that would go there: those of highest rank
 
