A proxy that has just started asks others for their slot order and takes it up

At fault: Placement.settle after a restart sorts by first start, while the others' slots were filled from the last. Change: Order in choice.py (the design's soft spot, the smallest departure: same walk, same slots as the others keep). proxy.told settles, so that a question is answered at once.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -88,6 +88,11 @@
     return taken if spare is None else [*taken, spare]
 
 
+def mark(node: Node) -> bytes:
+    """What stands for a node in words between proxies: 24 bits, seldom alike among some hundreds."""
+    return bytes.fromhex(node.name) if node.unnamed else blake2b(node.name.encode(), digest_size=3).digest()
+
+
 class Placement:
     """Which caches a key lives on: slots in order of first start, a walk down the key's digits."""
 
@@ -118,6 +123,10 @@
                 last = self.slots.pop()
                 if slot < len(self.slots):
                     self.slots[slot] = last
+        awaited = {node.name: slot for slot, node in enumerate(self.slots) if node.unnamed}
+        for node in ready if awaited else ():
+            if (slot := awaited.get(mark(node).hex())) is not None:
+                self.slots[slot] = node
         held = set(self.slots)
         self.slots += sorted(
             (node for node in ready if node not in held), key=lambda node: (node.started, node.name)
@@ -125,6 +134,18 @@
         if self.slots != before:
             self.known.clear()
 
+    def adopt(self, marks: list[bytes], nodes: list[Node], now: int) -> None:
+        """The order that another proxy keeps; who is not on our list is awaited, as after a crash."""
+        known = {mark(node): node for node in nodes}
+        weight = sum(node.weight for node in nodes) / max(1, len(nodes))
+        self.slots = [
+            known.get(one)
+            or Node(one.hex(), weight=weight, state=LEFT, left_at=now, window=Room.START, unnamed=True)
+            for one in marks
+        ]
+        self.known.clear()
+        self.settle(nodes, now)
+
     def homes(self, key: int, k: int) -> list[Node]:
         """The key's k replicas in order, and last its spare.
 
@@ -442,22 +463,75 @@
         if self.next_at is None or now < self.next_at:
             return []
         self.next_at = None
-        words = b"".join(self.mark(node) + bytes([well]) for node, well in [*self.ended.items()][-64:])
+        words = b"".join(mark(node) + bytes([well]) for node, well in [*self.ended.items()][-64:])
         self.ended.clear()
         peers = self.rng.sample(self.others, min(self.TO, len(self.others)))
         return [Req(None, now, now, saying=(peer, words)) for peer in peers]
 
-    def mark(self, node: Node) -> bytes:
-        return blake2b(node.name.encode(), digest_size=self.SIZE - 1).digest()
-
     def knows(self, nodes: Iterable[Node]) -> None:
-        self.marked = {self.mark(node): node for node in nodes}
+        self.marked = {mark(node): node for node in nodes}
 
     def told(self, words: bytes) -> list[tuple[Node, bool]]:
         parts = [words[at : at + self.SIZE] for at in range(0, len(words), self.SIZE)]
         return [(self.marked[part[:-1]], part[-1] == 1) for part in parts if part[:-1] in self.marked]
 
 
+class Order:
+    """Learns the slot order at the start from proxies that have kept it, where they may talk.
+
+    Guards against the design's soft spot in a large fleet: where most proxies restart amid a release, each
+    rebuilds an order of its own from what its list shows just then, keys have several times their homes over
+    all proxies, and hardly any copy is met again.  Without an answer all stays as the list has it.
+    """
+
+    EVERY = 500_000  # a question: words may be lost, and whom we ask may have started just now as well
+    YOUNG = 8_000_000  # the longest that lists take to show all alike; the young ask, and tell nobody
+    TO = 6  # peers asked at a time: one of them has run for longer, where not nearly all are young
+    HEAD, SLOTS = 9, 80  # bytes before the marks, and marks in a message of at most 256
+
+    def __init__(self, rng: Random, me: int, proxies: int):
+        self.rng, self.me = rng, me
+        self.others = [peer for peer in range(proxies) if peer != me]
+        self.grown_at: int | None = None
+        self.next_at: int | None = 0 if self.others else None
+        self.replies: deque[tuple[int, bytes]] = deque(maxlen=256)
+        self.parts: dict[bytes, dict[int, bytes]] = {}
+
+    def due(self, now: int) -> list[Req]:
+        """Standing reqs, one for each message to be sent now."""
+        said = [*self.replies]
+        self.replies.clear()
+        if self.grown_at is None:
+            self.grown_at = now + self.YOUNG
+        if self.next_at is not None and now >= self.next_at:
+            self.next_at, self.parts = now + self.EVERY, {}
+            if now >= self.grown_at:
+                self.next_at = None
+            else:
+                asked = self.rng.sample(self.others, min(self.TO, len(self.others)))
+                said += [(peer, b"?%b" % self.me.to_bytes(2, "big")) for peer in asked]
+        return [Req(None, now, now, saying=one) for one in said]
+
+    def told(self, words: bytes, slots: list[Node], now: int) -> list[bytes]:
+        """Answers a question; of an answer that has come whole, the marks in order of slots."""
+        young = self.grown_at is None or now < self.grown_at
+        if words[:1] == b"?" and len(words) == 3 and not young:
+            peer, marks = int.from_bytes(words[1:], "big"), b"".join(map(mark, slots))
+            head = b"=%b%b" % (blake2b(marks, digest_size=4).digest(), len(slots).to_bytes(2, "big"))
+            for first in range(0, len(slots), self.SLOTS):
+                part = head + first.to_bytes(2, "big") + marks[3 * first :][: 3 * self.SLOTS]
+                part += b"=" * (len(part) % Hearsay.SIZE == 0)  # so that its length tells it from endings
+                self.replies.append((peer, part))
+        elif words[:1] == b"=" and young and len(words) > self.HEAD and len(self.parts) < 16:
+            count, first = int.from_bytes(words[5:7], "big"), int.from_bytes(words[7:9], "big")
+            parts = self.parts.setdefault(words[1:5], {})
+            parts[first] = words[self.HEAD :][: 3 * min(self.SLOTS, count - first)]
+            marks = b"".join(parts[at] for at in sorted(parts))
+            if len(marks) == 3 * count and blake2b(marks, digest_size=4).digest() == words[1:5]:
+                return [marks[at : at + 3] for at in range(0, len(marks), 3)]
+        return []
+
+
 # --- The choice ---
 
 
@@ -470,11 +544,12 @@
 
     def __init__(
         self, rng: Random, placement: Placement, health: Health, cold: Cold, room: Room, shares: Shares,
-        links: Links, hearsay: Hearsay | None = None, *, origin: int, most_write_outs: int,
-        may_duplicate: bool, come_back: int, tick: int, ask_within: int,
+        links: Links, hearsay: Hearsay | None = None, order: Order | None = None, *, origin: int,
+        most_write_outs: int, may_duplicate: bool, come_back: int, tick: int, ask_within: int,
     ):  # fmt: skip
         self.rng, self.placement, self.health, self.cold = rng, placement, health, cold
-        self.room, self.shares, self.links, self.hearsay = room, shares, links, hearsay
+        self.room, self.shares, self.links = room, shares, links
+        self.hearsay, self.order = hearsay, order
         self.popular = Popular()
         self.origin_kind, self.most, self.may_duplicate = origin, most_write_outs, may_duplicate
         self.come_back, self.tick = come_back, tick
@@ -523,6 +598,12 @@
 
     def told(self, words: bytes, now: int) -> None:
         """A peer's message: news like the list's."""
+        if self.order and len(words) % self.hearsay.SIZE:
+            marks, slots = self.order.told(words, self.placement.slots, now), self.placement.slots
+            if marks and marks != [*map(mark, slots)]:
+                caches = [node for node in self.nodes.values() if node.kind != self.origin_kind]
+                self.placement.adopt(marks, caches, now)
+            return
         for node, well in self.hearsay.told(words) if self.hearsay else []:
             self.room.told(node, well)
 
@@ -633,11 +714,11 @@
             else:
                 self.first.append(req)
         ready = [*self.first, *self.further, *self.links.due(now)]
-        if self.hearsay:
-            ready += self.hearsay.due(now)
+        for talk in (self.hearsay, self.order):
+            ready += talk.due(now) if talk else []
         self.first.clear()
         self.further.clear()
-        standing = [self.links.rest(), self.hearsay.next_at if self.hearsay else None]
+        standing = [self.links.rest(), *(talk.next_at for talk in (self.hearsay, self.order) if talk)]
         next_at = [at for at in (self.due[0][0] if self.due else None, *standing) if at is not None]
         return (min(next_at) - now if next_at else None), ready
 
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -55,6 +55,7 @@
     cell: int = 0
     state: str = READY
     started: int = 0  # 0: long ago
+    unnamed: bool = False  # known by another proxy's slots alone, its name their mark for it
     drained: bool = False  # seen leaving since it last was ready
     left_at: int = 0
     in_flight: int = 0  # own write-outs there
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -295,3 +295,4 @@
             self.choice.told(words, self.now())
         except Exception:  # guards against whatever another proxy, or a stranger in its place, may send
             logger.exception("decisions failed: a peer's words")
+        self.settle()
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -16,7 +16,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from .choice import Choice, Cold, Health, Hearsay, Links, Placement, Room, Shares
+from .choice import Choice, Cold, Health, Hearsay, Links, Order, Placement, Room, Shares
 from .model import DEDUPLICATED, NON_RETRYABLE, RETRYABLE, Method, Tenant
 
 SEMANTICS = {"pure": RETRYABLE, "token": DEDUPLICATED, "side_effect": NON_RETRYABLE}
@@ -154,6 +154,7 @@
             Shares(rng, list(self.tenants.values()), 1.0 if excess is None else excess, proxies),
             Links(self.idle, proxies),
             Hearsay(rng, sheet.slot_no or 0, proxies) if limits.peers else None,
+            Order(rng, sheet.slot_no or 0, proxies) if limits.peers else None,
             origin=-1 if origin is None else origin,
             most_write_outs=limits.most_write_outs or 1,
             may_duplicate=self.may_duplicate,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
-from ivystack.choice import Choice, Cold, Health, Hearsay, Links, Placement, Room, Shares
+from ivystack.choice import Choice, Cold, Health, Hearsay, Links, Order, Placement, Room, Shares
 from ivystack.model import RETRYABLE, Method, Node, Req
 from ivystack.net.proxy import Proxy
 from ivystack.net.resp import bulk, command
@@ -18,9 +18,9 @@
 
 
 def choice(
-    listed=(), *, tenants=(), cold_share=1.0, cold=0, sized=False, now=0, proxies=1, peers=False, **more
+    listed=(), *, tenants=(), cold_share=1.0, cold=0, sized=False, now=0, proxies=1, peers=False, me=0, **more
 ):
-    rng = Random(1)
+    rng = Random(1 + me)
     given = dict(
         origin=-1, most_write_outs=3, may_duplicate=True, come_back=0, tick=0, ask_within=0
     )
@@ -32,7 +32,8 @@
         Room(),
         Shares(rng, list(tenants), 0.1, proxies),
         Links(60 * S, proxies),
-        Hearsay(rng, 0, proxies) if peers else None,
+        Hearsay(rng, me, proxies) if peers else None,
+        Order(rng, me, proxies) if peers else None,
         **(given | more),
     )
     made.listed(list(listed), True, now)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -362,6 +362,7 @@
     node = one.where(asked, 0)[1]
     one.after(asked.write_outs[0], OVERDUE, S)
     one.due.clear()
+    one.order.next_at = None
     said = [r.saying for r in one.wait(3 * S)[1] if r.saying]
     assert sorted(peer for peer, _ in said) == [1, 2]
     for words in (said[0][1], b"abc\0", b"no", b""):  # the last three: nothing known, nothing whole
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,19 +1,17 @@
 """Many proxies that act in step: what is harmless from one of them is counted over all of them."""
 
-from random import Random
-
 from helpers import S, choice, nodes, req
 
-from ivystack.choice import Hearsay
-from ivystack.model import OVERDUE, SATISFIED
+from ivystack.choice import Hearsay, Order, Placement
+from ivystack.model import GO, LEAVING, LEFT, OVERDUE, READY, SATISFIED, Node
 
 
 def fleet(count, nodes_each=4):
     """So many proxies that each know the same nodes, with a seed of its own each."""
-    made = [choice(nodes(nodes_each), proxies=count, peers=True) for _ in range(count)]
-    for me, one in enumerate(made):
-        one.hearsay = Hearsay(Random(me), me, count)
-        one.hearsay.knows(one.nodes.values())
+    made = [choice(nodes(nodes_each), proxies=count, peers=True, me=me) for me in range(count)]
+    for one in made:
+        one.order.grown_at = one.order.next_at = -1  # they have run for long
+        one.wait(0)
     return made
 
 
@@ -74,3 +72,113 @@
         one.hearsay.note(node, True, Hearsay.SOON // 2)  # a good one does not put it off
     said = [r.saying[1] for r in one.wait(Hearsay.SOON)[1] if r.saying]
     assert len(said) == 1 and len(said[0]) == Hearsay.SIZE * len(one.nodes)
+
+
+# Slot orders: a release is under way, most proxies restart.
+
+
+def replaced(node, state):
+    return Node(node.name, started=node.started, state=state)
+
+
+def released(made, first, count, now):
+    """So many nodes leave, new ones come, as each proxy's list says it."""
+    for one in made:
+        old = [one.nodes[f"n{i:02}"] for i in range(first, first + count)]
+        one.listed([replaced(node, LEAVING) for node in old], False, now)
+        new = [Node(f"m{i:02}", started=now) for i in range(first, first + count)]
+        one.listed(new, False, now)
+
+
+def restarted(one, count, me):
+    """The same proxy after a restart: it knows the list and nothing else."""
+    listed = [Node(n.name, started=n.started) for n in one.nodes.values() if n.state == READY]
+    return choice(listed, proxies=count, peers=True, me=me, now=9 * S)
+
+
+def orders(made):
+    return [tuple(node.name for node in one.placement.slots) for one in made]
+
+
+def restarted_amid_a_release(count):
+    made = fleet(count, 20)
+    released(made, 3, 6, S)
+    dead = count * 7 // 10
+    return [restarted(one, count, me) if me < dead else one for me, one in enumerate(made)]
+
+
+def test_proxies_that_restart_at_once_take_up_the_order_that_the_others_kept():
+    made = restarted_amid_a_release(40)
+    assert len(set(orders(made))) == 2
+    for step in range(4):  # whom one asks may have started just now as well
+        pass_on(made, 9 * S + step * Order.EVERY)
+        pass_on(made, 9 * S + step * Order.EVERY + 1)
+    assert len(set(orders(made))) == 1
+
+
+def test_what_a_restart_asks_does_not_grow_with_the_fleet():
+    for count in (40, 200):
+        made, messages = restarted_amid_a_release(count), 0
+        for step in range(40):
+            messages += pass_on(made, 9 * S + step * Order.EVERY)[0]
+        rounds = Order.YOUNG // Order.EVERY
+        assert 0 < messages <= count * 2 * Order.TO * rounds  # questions and answers, and then no more
+
+
+def test_all_proxies_at_once_ask_and_stay_with_their_lists():
+    made = [choice(nodes(5), proxies=40, peers=True, me=me) for me in range(40)]
+    before = orders(made)
+    for step in range(40):
+        pass_on(made, step * Order.EVERY)
+    assert orders(made) == before and all(one.order.next_at is None for one in made)
+
+
+def answer(kept, asker=1):
+    """The messages of an answer to a question."""
+    kept.told(b"?" + asker.to_bytes(2, "big"), 9 * S)
+    return [r.saying[1] for r in kept.wait(9 * S)[1] if r.saying and r.saying[0] == asker]
+
+
+def test_an_order_of_many_nodes_comes_in_parts_whatever_their_order():
+    kept = fleet(2, 200)[0]
+    young = choice(nodes(200)[::-1], proxies=2, peers=True, me=1, now=9 * S)
+    kept.placement.slots.reverse()
+    parts = answer(kept)
+    assert len(parts) == 3 and all(len(part) <= 256 and len(part) % Hearsay.SIZE for part in parts)
+    for part in (parts[2], parts[0], parts[0]):
+        young.told(part, 9 * S)
+    assert orders([young]) != orders([kept])
+    young.told(parts[1], 9 * S)
+    assert orders([young]) == orders([kept])
+
+
+def test_words_that_are_no_order_change_nothing():
+    kept, young = fleet(2, 9)[0], choice(nodes(9), proxies=2, peers=True, me=1, now=9 * S)
+    kept.placement.slots.reverse()
+    (whole,) = answer(kept)
+    before = orders([young])
+    longer = whole[:5] + b"\xff\xff" + whole[7:]
+    for words in (b"?", b"=", b"=" * 9, whole[:-3], longer, b"x" + whole[1:], b"??x"):
+        young.told(words, 9 * S)
+        kept.told(words, 9 * S)
+    assert orders([young]) == before
+    kept.told(whole, 9 * S)  # one that has run for long stays with its own
+    assert orders([kept]) != before
+    young.told(whole, 9 * S)
+    assert orders([young]) == orders([kept])
+
+
+def test_a_slot_of_a_node_not_listed_yet_is_awaited_and_sent_nothing():
+    kept = fleet(2, 6)[0]
+    young = choice(nodes(6)[:4], proxies=2, peers=True, me=1, now=9 * S)
+    for words in answer(kept):
+        young.told(words, 9 * S)
+    assert len(young.placement.slots) == 6
+    for key in range(50):
+        asked = req(key=key, arrived=9 * S)
+        word, node, _ = young.where(asked, 9 * S)
+        assert word != GO or node.state == READY
+    young.listed([Node("n05")], False, 9 * S)
+    assert orders([young])[0][5] == "n05" and young.placement.slots[4].state == LEFT
+    young.listed([], False, 9 * S + Placement.AWAITED)
+    assert len(young.placement.slots) == 5
