--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -275,9 +275,10 @@
     GROWTH = 0.1
     DROP = 2.0  # at most, off the origin's: it has what all caches miss, so chance alone often times one out
     NUDGE = 0.25  # off a cache's that answered what was sent later: a lost connection, or long work, no jam
-    # Of the window, and of a share, is left after a write-out that ran out of time: with 0.5 forty proxies,
-    # each of which had seen one, went on feeding the jam.
-    FALL = 0.35
+    FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
+    # Of the share of a node met seldom, by own and peers' time-outs: with 0.5 forty proxies, each of which
+    # had seen one, went on feeding the jam.  A proxy that meets a node often has its windows to go by.
+    FALL_SHARE = 0.35
 
     # Of the common share: one in eleven out of time leaves all, one in four a third, one in two a tenth.
     FALL_ALL, BACK_ALL = 0.8, 0.02
@@ -285,7 +286,8 @@
     BACK = 0.15
 
     # Of both is left after a slow answer, of such a part of the latency budget: where a miss is told at once,
-    # half of it is a queue; elsewhere a miss may take that long, so two in a row have to be.
+    # half of it is a queue; elsewhere a miss may take that long, so two in a row have to be,
+    # and a proxy that meets the node often has its window to go by.
     EBB, SLOW_ASIDE, SLOW = 0.92, 0.5, 0.75
     FRESH = 500_000  # what the node itself showed this lately goes before what all show: some answers' time
 
@@ -316,7 +318,7 @@
             growth = min(self.GROWTH * node.in_time * node.window, 1 / node.window)
             node.window = min(self.MOST, node.window + growth)
 
-    def told(self, node: Node, well: bool, left: float = FALL) -> None:
+    def told(self, node: Node, well: bool, left: float = FALL_SHARE) -> None:
         node.share = min(1.0, node.share + self.BACK) if well else max(self.CLOSED, node.share * left)
 
     def strained(self, left: float = FALL_ALL) -> None:
@@ -324,7 +326,7 @@
 
     def ran_out(self, node: Node, origin: bool, up: bool, often: bool = False) -> None:
         node.in_time = 0
-        self.told(node, False, self.FALL_ALL if often else self.FALL)
+        self.told(node, False, self.FALL_ALL if often else self.FALL_SHARE)
         if up:  # further failures in a row are the node's own
             self.strained()
         node.window = max(self.LEAST, node.window * self.FALL, node.window - self.DROP if origin else 0)
@@ -605,7 +607,8 @@
                 self.placement.adopt(marks, caches, now)
             return
         for node, well in self.hearsay.told(words) if self.hearsay else []:
-            self.room.told(node, well)
+            often = now < node.heard + self.room.FRESH
+            self.room.told(node, well, self.room.FALL_ALL if often else self.room.FALL_SHARE)
 
     # The three calls.
 
@@ -669,7 +672,7 @@
             part = self.room.SLOW_ASIDE if aside else self.room.SLOW
             slow, before = spent > part * method.latency_budget, node.slow
             node.slow = slow
-            self.room.answered(node, slow and (aside or before))
+            self.room.answered(node, slow and (aside or before and not often))
             if outcome == SATISFIED:
                 self.spare = min(self.FURTHER_MOST, self.spare + self.FURTHER)
                 self.shares.answered(req.key)
