--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -553,6 +553,7 @@
         self.room, self.shares, self.links = room, shares, links
         self.hearsay, self.order = hearsay, order
         self.popular = Popular()
+        self.many = links.keep > 0  # proxies: what one sees of a node itself is a small part, however often
         self.origin_kind, self.most, self.may_duplicate = origin, most_write_outs, may_duplicate
         self.come_back, self.tick = come_back, tick
         self.nodes: dict[str, Node] = {}
@@ -607,7 +608,7 @@
                 self.placement.adopt(marks, caches, now)
             return
         for node, well in self.hearsay.told(words) if self.hearsay else []:
-            often = now < node.heard + self.room.FRESH
+            often = not self.many and now < node.heard + self.room.FRESH
             self.room.told(node, well, self.room.FALL_ALL if often else self.room.FALL_SHARE)
 
     # The three calls.
@@ -672,7 +673,7 @@
             part = self.room.SLOW_ASIDE if aside else self.room.SLOW
             slow, before = spent > part * method.latency_budget, node.slow
             node.slow = slow
-            self.room.answered(node, slow and (aside or before and not often))
+            self.room.answered(node, slow and (aside or before and (self.many or not often)))
             if outcome == SATISFIED:
                 self.spare = min(self.FURTHER_MOST, self.spare + self.FURTHER)
                 self.shares.answered(req.key)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -55,7 +55,7 @@
 
 
 def test_a_node_met_often_is_judged_by_its_window_and_peers_words_count_less():
-    one, other = fleet(2, 1)
+    one, other = fleet(2, 1)  # two proxies: each sees half of what the node gets
     node = one.placement.slots[0]
     for at in range(0, S, S // 5):
         asked = req(arrived=at)
@@ -70,6 +70,15 @@
         assert abs(node.share - share) < 0.001
 
 
+def test_where_proxies_are_many_their_words_count_in_full_at_nodes_met_often_too():
+    one, other = fleet(40, 1)[:2]
+    node = one.placement.slots[0]
+    node.heard = 2 * S
+    other.hearsay.note(next(iter(other.nodes.values())), False, 2 * S)
+    one.told(next(r.saying[1] for r in other.wait(2 * S + Hearsay.SOON)[1] if r.saying), 2 * S)
+    assert abs(node.share - Room.FALL_SHARE) < 0.001
+
+
 def test_what_a_proxy_says_does_not_grow_with_the_fleet():
     cost = {}
     for count in (40, 400):
