The walk goes on where all homes of a key are gone, down or cold

Now twice as many homes of the same walk are looked at, until one is up and warm enough; strain alone never opens it.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -739,8 +739,8 @@
             if outcome == OVERDUE:
                 method.times.append(spent)
                 self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node), often)
-        elif outcome == FULL:
-            self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node), often)
+        elif outcome == FULL:  # told at once and nothing ran: no jam, so no word on other nodes
+            self.room.told(node, False, self.room.FALL_ALL)
         if self.hearsay and outcome not in (RECALLED, SUPERSEDED):
             self.hearsay.note(node, outcome in (SATISFIED, MISSED), now)
         out = [w for w in req.write_outs if w.outcome is None]
@@ -862,19 +862,20 @@
             k = self.popular.replicas(req.key, k, len(slots))
         homes = self.placement.homes(req.key if req.key is not None else self.rng.getrandbits(50), k)
         replicas = homes[:k]
-        tried = [w.node for w in req.write_outs if w.outcome not in (FULL, SUPERSEDED)]
+        tried = [w.node for w in req.write_outs if w.outcome != SUPERSEDED]
         lone = not self.may_have_run(req)
 
-        def able(node: Node) -> bool:
+        def there(node: Node) -> bool:
             return (
-                self.room.has(node, req.part, now, req.calm, rest)
-                and node.state == READY
-                and node not in tried
+                node.state == READY
                 and self.within_group(req, node)
                 and not self.sick(node, req.method)
                 and req.luck < self.cold.warmth(node, now)
             )
 
+        def able(node: Node) -> bool:
+            return node not in tried and self.room.has(node, req.part, now, req.calm, rest) and there(node)
+
         start = self.rng.randrange(len(replicas))
         turn = replicas[start:] + replicas[:start]
         # Trial: a down node whose pause is over gets one retryable req of its own keys, or of its bad method.
@@ -895,6 +896,11 @@
         fit = [node for node in turn if able(node)]
         if not fit:
             fit = [node for node in homes if able(node)]  # both replicas are out of reach: the spare
+        # Guards the keys whose homes are all gone, down or cold, where half of the fleet is lost at once: the
+        # walk goes on.  Never for strain: that would spread to nodes that lack the key.
+        while not fit and len(homes) < len(slots) and req.key is not None and not any(map(there, homes)):
+            homes = self.placement.homes(req.key, 2 * len(homes))
+            fit = [node for node in homes if able(node)]
         bound = max(self.FLOOR, self.SKIP * self.in_flight / len(slots))
         for node in fit:
             if node.in_flight <= bound and not (self.live and self.heavy(node, now)):
