Tests for the walk that goes on and for full nodes; a full node's answer is no jam

A FULL took 0.35 of the node's share, half its window and a fifth of the common share (Choice.after, Room.ran_out), and tried left full nodes out. It is told at once and proves that nothing ran. Waiting rooms at dar hold one to four reqs a core, so it is common there.

--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -5,8 +5,8 @@
 
 from helpers import S, choice, nodes, req
 
-from ivystack.choice import Live
-from ivystack.model import Node
+from ivystack.choice import Live, Room
+from ivystack.model import FULL, GO, LEFT, WAIT, Node
 
 
 def listing(*weights, kind=0):
@@ -70,3 +70,33 @@
     live.listed(node, 1.0, 0)
     node.in_flight = 3
     assert live.load(node, 0) == 3
+
+
+def test_a_key_whose_homes_are_all_gone_goes_on_along_its_walk():
+    # Guards against nacking what other nodes could take, where a lost zone holds all of a key's homes.
+    made = choice(nodes(12))
+    homes = made.placement.homes(7, 2)
+    made.listed([Node(node.name, state=LEFT) for node in homes], False, S)
+    word, node, _ = made.where(req(arrived=S), S)
+    assert word == GO and node not in homes and node in made.placement.homes(7, 6)
+
+
+def test_strain_alone_sends_no_key_beyond_its_homes():
+    made = choice(nodes(12))
+    for node in made.placement.homes(7, 2):
+        node.share = 0.0
+    made.shares.part_of_window(req(), 0)
+    asked = req()
+    asked.ranked, asked.part, asked.luck = True, 0.5, 0.5
+    assert made.where(asked, 0)[0] == WAIT
+
+
+def test_a_full_node_says_nothing_of_others_and_is_not_asked_again():
+    # Guards against closing a fleet whose waiting rooms are short, where each is full now and then.
+    made = choice(nodes(4))
+    asked = req()
+    first = made.where(asked, 0)[1]
+    made.after(asked.write_outs[0], FULL, 10)
+    assert made.room.common == 1 and first.window == Room.START and first.share == Room.FALL_ALL
+    made.wait(10)
+    assert made.where(asked, 10)[1] is not first
