--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -850,7 +850,9 @@
         if not self.may_send_again(req, now):
             return None
         rest = self.room.REST * req.method.latency_budget
-        if self.origin_kind >= 0 and (req.write or req.write_outs and req.write_outs[-1].outcome == MISSED):
+        missed = req.write_outs and req.write_outs[-1].outcome == MISSED
+        # The last write-out too: a cache that lacks the key would use it up for nothing.
+        if self.origin_kind >= 0 and (req.write or missed or 1 < len(req.write_outs) + 1 == self.most):
             # The rank counts half: it already let the req miss, and turned away here that was for nothing.
             fit = [node for node in self.origins if self.room.has(node, (1 + req.part) / 2, now, 0, rest)]
             return min(fit, key=lambda node: node.in_flight, default=None)
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -100,3 +100,15 @@
     assert made.room.common == 1 and first.window == Room.START and first.share == Room.FALL_ALL
     made.wait(10)
     assert made.where(asked, 10)[1] is not first
+
+
+def test_a_reads_last_write_out_goes_to_the_origin_where_that_is_asked_apart():
+    # Guards against a miss that nothing can follow: two homes were full, the third may lack the key.
+    made = choice([*nodes(6), Node("o", kind=1)], origin=1)
+    asked = req()
+    for at in (0, 10):
+        node = made.where(asked, at)[1]
+        assert node.kind == 0
+        made.after(asked.write_outs[-1], FULL, at)
+        made.wait(at)
+    assert made.where(asked, 20)[1].name == "o"
