--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -866,20 +866,22 @@
         replicas = homes[:k]
         tried = [w.node for w in req.write_outs if w.outcome != SUPERSEDED]
         lone = not self.may_have_run(req)
+        start = self.rng.randrange(len(replicas))
+        turn = replicas[start:] + replicas[:start]
 
         def there(node: Node) -> bool:
+            # A cold one in its own turn alone: guards it against what others are too full or too few to take.
+            warmth = self.cold.warmth(node, now)
             return (
                 node.state == READY
                 and self.within_group(req, node)
                 and not self.sick(node, req.method)
-                and req.luck < self.cold.warmth(node, now)
+                and (warmth == 1 or (req.luck < warmth and node is turn[0]))
             )
 
         def able(node: Node) -> bool:
             return node not in tried and self.room.has(node, req.part, now, req.calm, rest) and there(node)
 
-        start = self.rng.randrange(len(replicas))
-        turn = replicas[start:] + replicas[:start]
         # Trial: a down node whose pause is over gets one retryable req of its own keys, or of its bad method.
         for node in turn:
             sick = self.sick(node, req.method)
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -112,3 +112,20 @@
         made.after(asked.write_outs[-1], FULL, at)
         made.wait(at)
     assert made.where(asked, 20)[1].name == "o"
+
+
+def test_a_cold_node_takes_nothing_that_its_keys_other_homes_cannot():
+    # Guards the fourth rule: full or gone, the others' part came on top of the cold one's own.
+    made = choice(nodes(6), cold_share=0.5, cold=20 * S)
+    cold, other = made.placement.homes(7, 2)[:2]
+    cold.started, other.share = 2 * S, 0.0
+    picks = Counter(made.pick(lucky(2 * S), 2 * S) for _ in range(200))
+    assert 60 < picks[cold] < 140  # its own turns
+    cold.started = 0
+    assert {made.pick(lucky(2 * S), 2 * S) for _ in range(50)} == {cold}
+
+
+def lucky(now):
+    asked = req(arrived=now)
+    asked.ranked, asked.part, asked.luck = True, 0.5, 0.1
+    return asked
