Hot keys pick replicas by size, and a cold node's full answers count in full

Counted from the tap: 16 write-outs a second where 4 are due, half of them for one hot key whose third replica it was; each replica got as much, though the kinds differ fourfold (Choice.pick), and 69 of 200 were turned away as full, which took a fifth of its share only. Ruled out: the walk that goes on, the spare.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -740,7 +740,8 @@
                 method.times.append(spent)
                 self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node), often)
         elif outcome == FULL:  # told at once and nothing ran: no jam, so no word on other nodes
-            self.room.told(node, False, self.room.FALL_ALL)
+            cold = self.cold.warmth(node, now) < 1  # what it turns away counts towards its fall
+            self.room.told(node, False, self.room.FALL_SHARE if cold else self.room.FALL_ALL)
         if self.hearsay and outcome not in (RECALLED, SUPERSEDED):
             self.hearsay.note(node, outcome in (SATISFIED, MISSED), now)
         out = [w for w in req.write_outs if w.outcome is None]
@@ -866,7 +867,9 @@
         replicas = homes[:k]
         tried = [w.node for w in req.write_outs if w.outcome != SUPERSEDED]
         lone = not self.may_have_run(req)
-        start = self.rng.randrange(len(replicas))
+        # By size for a hot key: it brings each replica as much, though that be a small one's whole capacity.
+        sizes = [node.weight if k > self.placement.K else 1 for node in replicas]
+        start = self.rng.choices(range(len(replicas)), sizes)[0] if sum(sizes) else 0
         turn = replicas[start:] + replicas[:start]
 
         def there(node: Node) -> bool:
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -64,6 +64,22 @@
     ask_within: Ns = None
 
 
+class ReportingSheet(Struct):
+    how: Literal["answers", "probe", "none"] | None = None
+    columns: list[str] | None = None
+
+
+class BlendSheet(Struct):
+    """What the operators weigh.  Checked and carried; no decision rests on it (docs/assumptions.md)."""
+
+    whole: Figure = None
+    worst_window: Figure = None
+    worst_class: Figure = None
+    worst_tenant: Figure = None
+    availability: Figure = None
+    nines_wanted: Figure = None
+
+
 class SpecificsSheet(Struct):
     origin_kind: int | None = None
 
@@ -77,8 +93,12 @@
     limits: LimitsSheet | None = None
     rules: RulesSheet | None = None
     specifics: SpecificsSheet | None = None
+    reporting: ReportingSheet | None = None
+    blend: BlendSheet | None = None
+    zone: str | None = None
+    zones: list[str] | None = None
     discovery: Literal["push", "ask"] | None = None
-    weight_source: str | None = None
+    weight_source: Literal["none", "nominal", "rough", "live"] | None = None
     excess_criticality: Figure = None
     n_instances: Count = None
     slot_no: Annotated[int, Meta(ge=0)] | None = None
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -129,3 +129,26 @@
     asked = req(arrived=now)
     asked.ranked, asked.part, asked.luck = True, 0.5, 0.1
     return asked
+
+
+def test_a_hot_key_asks_its_replicas_by_size():
+    # Guards a small cache, above all a cold one, against the part of a hot key that a large one bears.
+    made = choice([*listing(*[4.0] * 8), *[Node(f"s{i}", 1, 1.0) for i in range(4)]], live=True)
+    for key in range(200):
+        homes = made.placement.homes(key, 8)[:8]
+        if {node.kind for node in homes} == {0, 1}:
+            break
+    made.popular.last.extend([key] * 64)
+    picks = Counter(made.pick(req(key=key), 0).kind for _ in range(2000))
+    homes = made.placement.homes(key, made.popular.replicas(key, 2, 12))[:12]
+    kinds = Counter(node.kind for node in homes)
+    assert 2.5 < picks[0] / kinds[0] / (picks[1] / kinds[1]) < 6
+
+
+def test_what_a_cold_node_turns_away_closes_it_further():
+    made = choice(nodes(4), cold_share=0.9, cold=20 * S)
+    asked = req()
+    node = made.where(asked, 0)[1]
+    node.started = 1
+    made.after(asked.write_outs[0], FULL, 10)
+    assert node.share == Room.FALL_SHARE
