--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -584,7 +584,7 @@
         self, rng: Random, placement: Placement, health: Health, cold: Cold, room: Room, shares: Shares,
         links: Links, hearsay: Hearsay | None = None, order: Order | None = None, live: Live | None = None, *,
         origin: int,
-        most_write_outs: int, may_duplicate: bool, come_back: int, tick: int, ask_within: int,
+        most_write_outs: int, may_duplicate: bool, come_back: int, tick: int,
     ):  # fmt: skip
         self.rng, self.placement, self.health, self.cold = rng, placement, health, cold
         self.room, self.shares, self.links = room, shares, links
@@ -601,11 +601,6 @@
         self.count = 0
         self.first: deque[Req] = deque()
         self.further: deque[Req] = deque()
-        self.asking = Req(None, 0, 0, list_call=True) if ask_within else None
-        self.ask_pause = min(500_000, ask_within // 8)
-        self.ask_failures = 0
-        if self.asking:
-            self.later(self.asking, 0)
 
     # The list.
 
@@ -660,7 +655,7 @@
     # The three calls.
 
     def where(self, req: Req, now: int) -> tuple:
-        if req.list_call or req.closing or req.saying:
+        if req.closing or req.saying:
             return GO, req.closing, 0
         if req.over:
             return DONE, None, 0
@@ -698,8 +693,6 @@
 
     def after(self, write_out: WriteOut, outcome: str, now: int) -> tuple[tuple, list[WriteOut]]:
         req = write_out.req
-        if req.list_call:
-            return self.asked(outcome, now), []
         if outcome == CLIENT_GONE:
             return (DONE, None, 0), [w for w in req.write_outs if w.outcome is None]
         node, method = write_out.node, req.method
@@ -759,7 +752,7 @@
             req = heapq.heappop(self.due)[2]
             if req.over:
                 continue
-            if req.write_outs or req.list_call:
+            if req.write_outs:
                 self.doubt(req)
                 self.further.append(req)
             else:
@@ -936,15 +929,3 @@
         """What keeps a method's reqs from a node: failures of the node, or its errors to that method."""
         errors = node.errors.get(method, node)
         return next((one for one in (node, errors) if not self.health.up(one)), None)
-
-    # Standing reqs.
-
-    def asked(self, outcome: str, now: int) -> tuple:
-        """A list call ended: after a failure it is made again, later each time and spread by chance."""
-        if outcome == SATISFIED:
-            self.ask_failures = 0
-        else:
-            self.ask_failures += 1
-            pause = self.ask_pause << min(self.ask_failures, 3)
-            self.later(self.asking, now + pause + self.rng.randrange(pause + 1))
-        return WAIT, None, 0
--- a/ivystack/net/discovery.py
+++ b/ivystack/net/discovery.py
@@ -43,11 +43,10 @@
     # Before the next call; doubled a failure.  The most is short: the agent is near and costs nothing.
     PAUSE, PAUSE_MOST = 100_000, 800_000
 
-    def __init__(self, reactor, deadlines, now, rng: Random, address, told, ended=None):
+    def __init__(self, reactor, deadlines, now, rng: Random, address, told):
         self.agent = Agent(reactor, connectTimeout=2)
         self.deadlines, self.now, self.rng, self.address = deadlines, now, rng, address
         self.told = told  # (entries, whole): news
-        self.ended = ended  # (well): where the decisions say when to call; else we call again
         self.generation = 0
         self.body: Lines | None = None
         self.call = None
@@ -101,8 +100,6 @@
             logger.error("discovery: a line that can't be used: {}: {}", type(fault).__name__, fault)
             return self.broke("unreadable")
         self.failures = 0
-        if self.ended:
-            self.ended(True)
 
     def take(self, listing: dict) -> None:
         generation, whole = int(listing["generation"]), bool(listing.get("reset"))
@@ -121,8 +118,6 @@
         self.failures += 1
         if self.stopped:
             return
-        if self.ended:
-            return self.ended(False)
         pause = min(self.PAUSE << min(self.failures, 8), self.PAUSE_MOST)
         self.next = self.deadlines.at(self.now() + pause // 2 + self.rng.randrange(pause), self.watch)
 
@@ -133,8 +128,7 @@
         self.address, self.failures = address, 0
         if self.call is not None or self.body is not None:
             self.broke("moved")
-        if self.ended is None:
-            self.watch()
+        self.watch()
 
     def stop(self) -> None:
         self.stopped = True
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from ..model import (  # fmt: skip
-    CLIENT_GONE, DONE, ERRORED, FAIL, GO, LEAVING, LEFT, NACK, READY, SATISFIED, Node, Req, WriteOut,
+    CLIENT_GONE, DONE, FAIL, GO, LEAVING, LEFT, NACK, READY, SATISFIED, Node, Req, WriteOut,
 )
 from ..settings import Run, address
 from .discovery import Discovery
@@ -50,7 +50,6 @@
         self.ends: deque[tuple[WriteOut, str]] = deque()  # outcomes that the decisions are still to be told
         self.settling = False
         self.alarm: list | None = None
-        self.listing: WriteOut | None = None
         self.nodes = Nodes(
             reactor, self.deadlines, self.now, self.ended, run.sockets, run.idle, run.connect_timeout,
             self.settings.streams if self.settings.may_duplicate else 1,
@@ -62,7 +61,6 @@
         )  # fmt: skip
         self.discovery = Discovery(
             reactor, self.deadlines, self.now, Random(run.seed + 1), run.discovery, self.listed,
-            self.list_call_ended if self.settings.asks else None,
         )  # fmt: skip
         self.peers = Peers(run.peers, self.told)
         self.port = None
@@ -82,8 +80,7 @@
             self.run.listen[1], self.front, backlog=512, interface=self.run.listen[0]
         )
         self.port.numberAccepts = self.AT_ONCE
-        if not self.settings.asks:
-            self.discovery.watch()
+        self.discovery.watch()
         logger.info("start name={} nodes={}", self.run.name, len(self.choice.nodes))
         self.settle()
 
@@ -171,11 +168,7 @@
 
     def carry(self, req: Req, answer: tuple) -> None:
         word, node, when = answer
-        if req.list_call:
-            if word == GO:
-                self.listing = WriteOut(req, None, 0, 0)
-                self.discovery.watch()
-        elif req.saying:
+        if req.saying:
             if word == GO:
                 self.peers.say(*req.saying)
         elif req.closing:
@@ -282,14 +275,6 @@
             self.nodes.known(name, address(where, "hostPort"), restarted)
         return node
 
-    def list_call_ended(self, well: bool) -> None:
-        if self.listing:
-            try:
-                self.choice.after(self.listing, SATISFIED if well else ERRORED, self.now())
-            except Exception:
-                logger.exception("decisions failed: the list")
-            self.settle()
-
     def told(self, words: bytes) -> None:
         try:
             self.choice.told(words, self.now())
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -61,7 +61,6 @@
 class RulesSheet(Struct):
     cold: Ns = None
     cold_share: Part = None
-    ask_within: Ns = None
 
 
 class ReportingSheet(Struct):
@@ -97,7 +96,7 @@
     blend: BlendSheet | None = None
     zone: str | None = None
     zones: list[str] | None = None
-    discovery: Literal["push", "ask"] | None = None
+    discovery: Literal["push", "ask"] | None = None  # read for its faults: lists come unasked
     weight_source: Literal["none", "nominal", "rough", "live"] | None = None
     excess_criticality: Figure = None
     n_instances: Count = None
@@ -160,7 +159,6 @@
         self.kinds = {name: place for place, name in enumerate(sheet.kinds or [])}
         self.methods = {m.name: method(m) for m in sheet.methods or []}
         self.tenants = {t.name: Tenant(t.name, t.allowance_per_s or 0.0) for t in sheet.parties or []}
-        self.asks = sheet.discovery == "ask"
         self.may_duplicate = bool(limits.may_duplicate)
         self.streams = limits.streams_per_conn or 1
         self.idle, self.connect_timeout = us(limits.conn_idle), us(limits.connect_timeout)
@@ -181,7 +179,6 @@
             may_duplicate=self.may_duplicate,
             come_back=us(limits.max_retry_after) if limits.retry_after else 0,
             tick=us(sheet.granularity),
-            ask_within=us(rules.ask_within) if self.asks else 0,
         )
 
 
