Late answers strain listed-loaded nodes; the common share spares nodes listed at rest

Now an answer after its budget counts as a time-out where the list shows the node loaded, and the common share does not close a node listed at rest (Room.has).

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -333,7 +333,9 @@
         self.common = 1.0
 
     def has(self, node: Node, part: float, now: int, calm: float = 0.0, rest: float = 1e5) -> bool:
-        heard = now < node.heard + self.FRESH and node.window >= 1
+        # Listed at rest is as good: guards a good node against what the rest of the fleet shows.
+        rests = node.load <= Live.REST and now < node.load_at + Live.AGE
+        heard = (now < node.heard + self.FRESH or rests) and node.window >= 1
         share = node.share if heard else min(node.share, self.common)
         if share < max(1 - part, calm):
             return False
@@ -712,7 +714,10 @@
             part = self.room.SLOW_ASIDE if aside else self.room.SLOW
             slow, before = spent > part * method.latency_budget, node.slow
             node.slow = slow
-            self.room.answered(node, slow and (aside or before and (self.many or not often)))
+            if spent > method.latency_budget and (not self.live or self.live.load(node, now) > self.live.REST):
+                self.room.ran_out(node, node.kind == self.origin_kind, True, often)
+            else:
+                self.room.answered(node, slow and (aside or before and (self.many or not often)))
             if outcome == SATISFIED:
                 self.spare = min(self.FURTHER_MOST, self.spare + self.FURTHER)
                 self.shares.answered(req.key)
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -72,7 +72,7 @@
     slow: bool = False  # the last answer was, for its latency budget
     window: float = 0.0  # own write-outs it bears at once
     load: float = 0.0  # reqs that it held a core, as told last
-    load_at: int = 0
+    load_at: int = -1_000_000_000
     share: float = 1.0  # of the reqs that would go there: those of highest rank
 
 
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -6,7 +6,7 @@
 from helpers import S, choice, nodes, req
 
 from ivystack.choice import Live, Room
-from ivystack.model import FULL, GO, LEFT, WAIT, Node
+from ivystack.model import FULL, GO, LEFT, SATISFIED, WAIT, Node
 
 
 def listing(*weights, kind=0):
@@ -152,3 +152,30 @@
     node.started = 1
     made.after(asked.write_outs[0], FULL, 10)
     assert node.share == Room.FALL_SHARE
+
+
+def answered_late(made, load):
+    asked = req(give_up=3 * S)
+    asked.method.tardy = 0.5
+    node = made.where(asked, 0)[1]
+    node.load, node.load_at = load, S
+    made.after(asked.write_outs[0], SATISFIED, 2 * S)
+    return node
+
+
+def test_an_answer_after_its_budget_strains_a_node_that_is_listed_loaded():
+    # Guards against learning of a jam only at the deadline, where late answers still earn; long work is none.
+    assert answered_late(choice(listing(*[4.0] * 4), live=True), 9.0).share == Room.FALL_SHARE
+    assert answered_late(choice(listing(*[4.0] * 4), live=True), 0.5).share == 1
+
+
+def test_nodes_listed_at_rest_are_not_closed_by_what_others_show():
+    made = choice(listing(*[4.0] * 4), live=True)
+    made.room.common = 0.1
+    made.shares.part_of_window(req(), 0)
+    node = made.placement.slots[0]
+    assert made.room.has(node, 0.5, S)
+    node.load = 9.0
+    assert not made.room.has(node, 0.5, S)
+    node.load = 0.0
+    assert not made.room.has(node, 0.5, Live.AGE + S)  # news too old to tell
