--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -736,6 +736,8 @@
                 self.health.failed(node, outcome == REFUSED, now)
             if outcome == OVERDUE:
                 method.times.append(spent)
+            # An origin that refuses is full of all proxies' reqs, and there is no other: guards what is left.
+            if outcome == OVERDUE or node.kind == self.origin_kind:
                 self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node), often)
         elif outcome == FULL:  # told at once and nothing ran: no jam, so no word on other nodes
             cold = self.cold.warmth(node, now) < 1  # what it turns away counts towards its fall
