Load reports go to the decisions, from the adapter and from nodes on sockets

The adapter dropped the report of FINISHED, and nodes.py read past it. Now the figures that the settings name, finite and not negative, go through after() to Live: reqs held a size, or at least those that wait; the newest of list and report counts and ages alike. Tests: a node's report reaches the pick; one req a connection with room for ten.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -50,9 +50,8 @@
 def draws(key: int, count: int, parts: int = 1) -> list[int]:
     """For each slot l a whole number in 0..l, in so many parts: the key's hash, taken apart by remainders.
 
-    32 digits use up under 400 of a block's 512 bits while slots stay below 4096, so each digit is even to
-    within 2^-100 (16 of 64 parts each: under 300); Python's own hash is salted a process and would part the
-    proxies.
+    32 digits use up under 400 of a block's 512 bits while slots stay below 4096, 16 in 64 parts under 300, so
+    each is even to within 2^-100; Python's own hash is salted a process and would part the proxies.
     """
     found: list[int] = []
     step = 32 if parts == 1 else 16
@@ -65,9 +64,8 @@
 def spots(found: list[int], k: int) -> list[int]:
     """The slots of replicas 0 .. k-1, then one spare, for digits x_0 .. x_(N-1) of N slots.
 
-    Replica r is at the highest slot l >= k whose digit is r, else at slot r: so walk down from the last
-    slot and stop when all are found.  The spare follows the next digit value, k, over the slots that no
-    replica has.
+    Replica r is at the highest slot l >= k whose digit is r, else at slot r: so walk down from the last slot
+    and stop when all are found.  The spare follows the next digit value, k, over slots that no replica has.
 
     >>> spots([0, 0, 2, 3, 2, 1], 3)[:3]
     [0, 5, 4]
@@ -99,27 +97,21 @@
 class Placement:
     """Which caches a key lives on: slots in order of first start, a walk down the key's digits."""
 
-    # How many keys' places are kept: about 1 MB.  A list change that moves a slot drops them all.
-    KEPT = 4_000
+    KEPT = 4_000  # keys' places: about 1 MB.  A list change that moves a slot drops them all.
     # A cache that left unasked (it crashed) keeps its slot this long: longer than the outages of the brief's
-    # troubles, so that one coming back finds its keys; a machine that never returns costs its share of
-    # spares.
+    # troubles, so that one coming back finds its keys; one that never returns costs its share of spares.
     AWAITED = 40_000_000
-
     K = 2  # replicas of a key: 3 was tried, and leaves each cache less room for keys of its own
     MOST = 3  # places of a key, its spare included: the design page's
-
-    # Of a digit: with whole ones a slot far smaller than the rest gets one replica's keys or no keys at all.
-    PARTS = 64
+    PARTS = 64  # of a digit: with whole ones a far smaller slot gets one replica's keys or none
 
     def __init__(self, sized: bool, live: bool = False):
-        self.sized, self.parts = sized or live, self.PARTS if live else 1
+        self.sized, self.live, self.parts = sized or live, live, self.PARTS if live else 1
         self.slots: list[Node] = []
         self.known: OrderedDict[tuple[int, int], list[Node]] = OrderedDict()
 
     def settle(self, nodes: list[Node], now: int) -> None:
-        """Brings the slots in line with the list: freed slots go to the last slot's cache, new caches go
-        last."""
+        """In line with the list: freed slots go to the last slot's cache, new caches go last."""
         before = list(self.slots)
         ready = {node for node in nodes if node.state == READY}
         for slot in range(len(self.slots) - 1, -1, -1):
@@ -134,9 +126,7 @@
             if (slot := awaited.get(mark(node).hex())) is not None:
                 self.slots[slot] = node
         held = set(self.slots)
-        self.slots += sorted(
-            (node for node in ready if node not in held), key=lambda node: (node.started, node.name)
-        )
+        self.slots += sorted(ready - held, key=lambda node: (node.started, node.name))
         if self.slots != before:
             self.known.clear()
 
@@ -155,8 +145,7 @@
     def homes(self, key: int, k: int) -> list[Node]:
         """The key's k replicas in order, and last its spare.
 
-        A greater k leaves replicas where they are, but for the first slots: the walk is the same, with more
-        of the digits counting.
+        A greater k leaves replicas where they are, but for the first slots: the same walk, with more digits.
         """
         nodes = self.known.get((key, k))
         if nodes is None:
@@ -172,8 +161,8 @@
     def sized_digits(self, found: list[int]) -> list[int]:
         """Quasi-digits (section V): slot l takes [0, k p_l) of the draw, in k equal parts, one a replica.
 
-        The printed [0, p_l) would move k times too little.  Where k p_l > 1 a slot is due more than every
-        key once and takes every key.  The next p_l of the draw names the spare.
+        The printed [0, p_l) would move k times too little.  A slot due more than every key once (k p_l > 1)
+        takes every key.  The next p_l of the draw names the spare.
         """
         quasi, total = [], 0.0
         for slot, digit in enumerate(found):
@@ -260,13 +249,26 @@
         self.most: dict[int, float] = {}
         self.mean = 0.0  # load of the caches listed last
 
-    def size(self, kind: int) -> float:
-        return 2 ** (round(log2(self.most.get(kind, 1.0)) * self.STEPS) / self.STEPS)
+    def sized(self, nodes: list[Node], now: int) -> bool:
+        """Gives each its kind's size; whether that is news for any."""
+        before = [node.weight for node in nodes]
+        for node in nodes:
+            node.weight = 2 ** (round(log2(self.most.get(node.kind, 1.0)) * self.STEPS) / self.STEPS)
+        self.mean = sum(self.load(node, now) for node in nodes) / max(1, len(nodes))
+        return before != [node.weight for node in nodes]
 
     def listed(self, node: Node, weight: float, now: int) -> None:
         most = self.most[node.kind] = max(weight, self.most.get(node.kind, 0.0))
         node.load, node.load_at = most / weight - 1, now
 
+    def reported(self, node: Node, figures: dict[str, float], now: int) -> None:
+        """What the node told of itself with an answer: reqs held, or at the least those that wait there."""
+        held = figures.get("active")
+        if held is None and figures.get("waiting"):
+            held = self.REST * node.weight + figures["waiting"]
+        if held is not None:
+            node.load, node.load_at = held / node.weight, now
+
     def load(self, node: Node, now: int) -> float:
         """What is known of it, the less the older, and our own write-outs since on top."""
         return node.load * max(0.0, 1 - (now - node.load_at) / self.AGE) + node.in_flight / node.weight
@@ -306,31 +308,25 @@
     CLOSED = 0.02  # of our reqs still go out, else slow errors or full nodes would close all for good
     START = 12.0  # of a window: so that the least worth still has one place at a node that shows no strain
     REST = 0.125  # of a latency budget, between write-outs, over the window, when that is below one
-    # Of a small window, an answer, times the answers in a row: half of them timing out hold it down, as in a
-    # jam, but not the one in eight that cold keys may bring at any load.
+    # Of a small window, an answer, times those in a row: half of them timing out hold it down, as in a jam,
+    # not the one in eight that cold keys may bring at any load.
     GROWTH = 0.1
     DROP = 2.0  # at most, off the origin's: it has what all caches miss, so chance alone often times one out
     NUDGE = 0.25  # off a cache's that answered what was sent later: a lost connection, or long work, no jam
     FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
-    # Of the share of a node met seldom, by own and peers' time-outs: with 0.5 forty proxies, each of which
-    # had seen one, went on feeding the jam.  A proxy that meets a node often has its windows to go by.
+    # Of the share of a node met seldom, by own and peers' time-outs: with 0.5 forty proxies, which had seen
+    # one each, went on feeding the jam.  A proxy that meets a node often has its windows to go by.
     FALL_SHARE = 0.35
-
     # Of the common share: one in eleven out of time leaves all, one in four a third, one in two a tenth.
     FALL_ALL, BACK_ALL = 0.8, 0.02
-    # A node's share back with an answer: one in five out of time leaves all, one in two a third.
-    BACK = 0.15
-
+    BACK = 0.15  # of a node's share with an answer: one in five out of time leaves all, one in two a third
     # Of both is left after a slow answer, of such a part of the latency budget: where a miss is told at once,
-    # half of it is a queue; elsewhere a miss may take that long, so two in a row have to be,
-    # and a proxy that meets the node often has its window to go by.
+    # half of it is a queue; elsewhere a miss may take that long, so two in a row have to be.
     EBB, SLOW_ASIDE, SLOW = 0.92, 0.5, 0.75
     FRESH = 500_000  # what the node itself showed this lately goes before what all show: some answers' time
 
     def __init__(self):
-        # Of our reqs that may go out at all.  Guards against the jam of a whole fleet before a light proxy,
-        # which meets each node too seldom to learn of it node by node.
-        self.common = 1.0
+        self.common = 1.0  # of our reqs may go out: a light proxy meets nodes too seldom to go by each
 
     def has(self, node: Node, part: float, now: int, calm: float = 0.0, rest: float = 1e5) -> bool:
         # Listed at rest is as good: guards a good node against what the rest of the fleet shows.
@@ -443,8 +439,8 @@
 class Links:
     """Closes idle connections early where proxies are many, so that those of all fit a node's table.
 
-    Guards against tables filled by idle connections: a node then refuses every proxy that has none.  Open
-    ones are then at most a node's reqs a second times `keep`, whatever the number of proxies.
+    Guards against tables filled by idle ones: a node then refuses every proxy that has none.  Open ones are
+    at most a node's reqs a second times `keep`, whatever the number of proxies.
     """
 
     FEW = 16  # proxies whose connections may stay as long as the nodes let them; 400 keep them 1/25 of that
@@ -474,9 +470,8 @@
 class Hearsay:
     """Tells some peers now and then how our last write-outs to each node ended, and takes in what they tell.
 
-    Guards against learning of a full or hung node by hundreds of proxies one by one.  It moves only a known
-    node's share of our reqs, as one write-out of ours would, so a lost, late, repeated or wrong message does
-    little; failures in a row stay our own.
+    Guards against learning of a full or hung node by hundreds of proxies one by one.  It moves known nodes'
+    shares alone, as one write-out of ours would, so a lost, late, repeated or wrong message does little.
     """
 
     # A message: well below the time in which forty proxies, none of which has seen it, jam a node (1 s or
@@ -519,9 +514,8 @@
 class Order:
     """Learns the slot order at the start from proxies that have kept it, where they may talk.
 
-    Guards against the design's soft spot in a large fleet: where most proxies restart amid a release, each
-    rebuilds an order of its own from what its list shows just then, keys have several times their homes over
-    all proxies, and hardly any copy is met again.  Without an answer all stays as the list has it.
+    Guards against the design's soft spot in a large fleet: most proxies restart amid a release, each with an
+    order of its own from its list, so keys have several times their homes and hardly any copy is met again.
     """
 
     EVERY = 500_000  # a question: words may be lost, and whom we ask may have started just now as well
@@ -611,7 +605,9 @@
         for new in nodes:
             node = self.nodes.setdefault(new.name, new)
             node.window = node.window or (Room.MOST if node.kind == self.origin_kind else Room.START)
-            if self.live and 0 < new.weight < inf:
+            if not 0 < new.weight < inf:  # guards the node's keys: such a weight tells nothing
+                new.weight = 1.0
+            elif self.placement.live:
                 self.live.listed(node, new.weight, now)
             if node is not new:
                 if new.started != node.started and new.state == READY and new.started > node.started:
@@ -628,13 +624,8 @@
                     node.state, node.left_at = LEFT, now
         caches = [node for node in self.nodes.values() if node.kind != self.origin_kind]
         self.origins = [n for n in self.nodes.values() if n.kind == self.origin_kind and n.state == READY]
-        if self.live:
-            sizes = {kind: self.live.size(kind) for kind in {node.kind for node in caches}}
-            if any(node.weight != sizes[node.kind] for node in caches):
-                self.placement.known.clear()
-            for node in caches:
-                node.weight = sizes[node.kind]
-            self.live.mean = sum(self.live.load(node, now) for node in caches) / max(1, len(caches))
+        if self.placement.live and self.live.sized(caches, now):
+            self.placement.known.clear()
         self.placement.settle(caches, now)
         # What is known of a node goes with it, once no slot awaits it: guards the memory, ids are ever new.
         kept = {*self.placement.slots, *(n for n in self.nodes.values() if n.state != LEFT or n.in_flight)}
@@ -693,12 +684,14 @@
             self.later(req, now + self.patience(req.method, end - now, write_out.trial))
         return GO, node, until
 
-    def after(self, write_out: WriteOut, outcome: str, now: int) -> tuple[tuple, list[WriteOut]]:
+    def after(self, write_out: WriteOut, outcome: str, now: int, load=None) -> tuple[tuple, list[WriteOut]]:
         req = write_out.req
         if outcome == CLIENT_GONE:
             return (DONE, None, 0), [w for w in req.write_outs if w.outcome is None]
         node, method = write_out.node, req.method
         write_out.outcome = outcome
+        if self.live and load:
+            self.live.reported(node, load, now)
         node.in_flight -= 1
         self.in_flight -= 1
         self.links.freed(node, now)
@@ -714,9 +707,9 @@
             part = self.room.SLOW_ASIDE if aside else self.room.SLOW
             slow, before = spent > part * method.latency_budget, node.slow
             node.slow = slow
-            if spent > method.latency_budget and (not self.live or self.live.load(node, now) > self.live.REST):
+            if spent > method.latency_budget and node.load > Live.REST and now < node.load_at + Live.AGE:
                 self.room.ran_out(node, node.kind == self.origin_kind, True, often)
-            else:
+            else:  # else it is long work
                 self.room.answered(node, slow and (aside or before and (self.many or not often)))
             if outcome == SATISFIED:
                 self.spare = min(self.FURTHER_MOST, self.spare + self.FURTHER)
--- a/ivystack/drill/wire.py
+++ b/ivystack/drill/wire.py
@@ -27,6 +27,7 @@
     Node,
     Req,
     WriteOut,
+    figures,
 )
 from ..settings import Settings, us
 
@@ -123,7 +124,7 @@
             ref = self.refs.pop(req, None)
             self.reqs.pop(ref, None)
 
-    def finished(self, now, ref, number, node, ending, delay=None, last=False, *_):
+    def finished(self, now, ref, number, node, ending, delay=None, last=False, info=None, told=None, *_):
         req = self.reqs.get(ref)
         if req is None or not 0 <= number < len(req.write_outs) or ending not in ENDINGS:
             raise BadLineError("an ending of a write-out that was never made, or of no known kind")
@@ -132,7 +133,8 @@
             raise BadLineError("a second ending of one write-out")
         if last:
             req.over = True
-        answer, off = decided(self.choice.after, write_out, ENDINGS[ending], now)
+        load = figures(told, self.settings.columns)
+        answer, off = decided(self.choice.after, write_out, ENDINGS[ending], now, load)
         self.call_off(req, off)
         self.carry(req, (DONE, None, 0) if req.over else answer)
 
@@ -158,7 +160,7 @@
                 Node(
                     name,
                     self.settings.kinds.get(flavor, -2),
-                    1.0 if share is None else share,
+                    share or 0.0,  # null tells nothing
                     zone or "",
                     bay or 0,
                     STATES[mode],
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from math import inf
 
 # What `where` and `after` answer with: (GO, node, until), (WAIT, None, 0), (NACK, None, come_back_in),
 # (FAIL, None, 0), or (DONE, None, 0) when nothing more is owed.
@@ -123,3 +124,16 @@
     outcome: str | None = None  # None: still out
     doubted: bool = False  # its lateness was already held against the node
     trial: bool = False
+
+
+def figures(report: dict | None, columns: frozenset[str]) -> dict[str, float]:
+    """What of a node's load report can be used: the figures that the settings name, finite and not negative.
+
+    >>> figures({"active": 3, "waiting": -1, "cpu": None, "new": 5}, frozenset(["active", "waiting", "cpu"]))
+    {'active': 3}
+    """
+    return {
+        name: value
+        for name, value in (report or {}).items()
+        if name in columns and isinstance(value, int | float) and 0 <= value < inf
+    }
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -22,7 +22,7 @@
 class Sending:
     """One write-out on its way: it waits at a place for a connection, or is out on a link, or has ended."""
 
-    __slots__ = ("write_out", "frame", "link", "place", "until", "over")
+    __slots__ = ("write_out", "frame", "link", "place", "until", "over", "report")
 
     def __init__(self, write_out: WriteOut, frame):
         self.write_out, self.frame = write_out, frame
@@ -30,6 +30,7 @@
         self.place: Place | None = None
         self.until: list[list] = []  # its deadlines
         self.over = False
+        self.report: bytes | None = None  # the node's load, as it came with the answer
 
 
 class Place:
@@ -324,6 +325,8 @@
         link.place.broke = 0
         if not any(other.over for other in link.out):
             self.deadlines.drop(link.deadline)
+        if outcome in (SATISFIED, MISSED):
+            sending.report = value[2]
         if not sending.over:
             self.end(sending, outcome, value[0] if outcome == SATISFIED else None)
 
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -9,16 +9,18 @@
 from collections import deque
 from random import Random
 
+import orjson
 from loguru import logger
 
 from ..model import (  # fmt: skip
-    CLIENT_GONE, DONE, FAIL, GO, LEAVING, LEFT, NACK, READY, SATISFIED, Node, Req, WriteOut,
+    CLIENT_GONE, DONE, FAIL, GO, LEAVING, LEFT, NACK, READY, SATISFIED, Node, Req, WriteOut, figures,
 )
 from ..settings import Run, address
 from .discovery import Discovery
 from .front import Frame, Front
 from .nodes import Nodes, Sending
 from .peers import Peers
+from .resp import SHORT
 from .tables import Clock, Deadlines, Slots
 
 STATES = {"SERVING": READY, "DRAINING": LEAVING, "DELETED": LEFT}
@@ -47,7 +49,7 @@
         self.reqs = Slots()
         self.held: dict[Req, Held] = {}
         self.sendings: dict[WriteOut, Sending] = {}
-        self.ends: deque[tuple[WriteOut, str]] = deque()  # outcomes that the decisions are still to be told
+        self.ends: deque[tuple[WriteOut, str, dict]] = deque()  # outcomes that decisions are still to be told
         self.settling = False
         self.alarm: list | None = None
         self.nodes = Nodes(
@@ -191,13 +193,22 @@
         del self.sendings[sending.write_out]
         if outcome == SATISFIED:
             self.answer(sending.write_out.req, SATISFIED, value)
-        self.ends.append((sending.write_out, outcome))
+        self.ends.append((sending.write_out, outcome, self.load(sending.report)))
         self.settle()
 
-    def after(self, write_out: WriteOut, outcome: str) -> None:
+    def load(self, report) -> dict[str, float]:
+        """The figures of use in a node's load report; one that can't be read tells nothing, nor does harm."""
+        if not self.settings.columns or not isinstance(report, bytes) or len(report) > SHORT:
+            return {}
+        try:
+            return figures(orjson.loads(report), self.settings.columns)
+        except (ValueError, AttributeError):  # no JSON, no object
+            return {}
+
+    def after(self, write_out: WriteOut, outcome: str, load: dict[str, float]) -> None:
         req = write_out.req
         try:
-            answer, off = self.choice.after(write_out, outcome, self.now())
+            answer, off = self.choice.after(write_out, outcome, self.now(), load)
         except Exception:
             logger.exception("decisions failed: after")
             answer, off = (FAIL, None, 0), [w for w in req.write_outs if w in self.sendings]
@@ -263,7 +274,7 @@
         node = Node(
             name,
             self.settings.kinds.get(entry.get("machineType"), -2),
-            1.0 if entry.get("weight") is None else float(entry["weight"]),
+            float(entry.get("weight") or 0),  # null tells nothing
             entry.get("zone") or "",
             entry.get("cell") or 0,
             STATES.get(entry.get("lifecycle"), LEAVING),  # an unknown word: nothing new goes there
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -159,13 +159,16 @@
         self.kinds = {name: place for place, name in enumerate(sheet.kinds or [])}
         self.methods = {m.name: method(m) for m in sheet.methods or []}
         self.tenants = {t.name: Tenant(t.name, t.allowance_per_s or 0.0) for t in sheet.parties or []}
+        reporting = sheet.reporting or ReportingSheet()
+        self.columns = frozenset(reporting.columns or []) if reporting.how == "answers" else frozenset()
+        live = sheet.weight_source == "live"
         self.may_duplicate = bool(limits.may_duplicate)
         self.streams = limits.streams_per_conn or 1
         self.idle, self.connect_timeout = us(limits.conn_idle), us(limits.connect_timeout)
         origin, excess, proxies = specifics.origin_kind, sheet.excess_criticality, sheet.n_instances or 1
         self.choice = Choice(
             rng,
-            Placement(sheet.weight_source in ("nominal", "rough"), sheet.weight_source == "live"),
+            Placement(sheet.weight_source in ("nominal", "rough"), live),
             Health(),
             Cold(rules.cold_share or 1.0, us(rules.cold)),
             Room(),
@@ -173,7 +176,7 @@
             Links(self.idle, proxies),
             Hearsay(rng, sheet.slot_no or 0, proxies) if limits.peers else None,
             Order(rng, sheet.slot_no or 0, proxies) if limits.peers else None,
-            Live() if sheet.weight_source == "live" else None,
+            Live() if live or self.columns else None,
             origin=-1 if origin is None else origin,
             most_write_outs=limits.most_write_outs or 1,
             may_duplicate=self.may_duplicate,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -65,7 +65,7 @@
     ]
 
 
-def proxy(count=1, **limits):
+def proxy(count=1, reporting=None, **limits):
     """A proxy on a reactor that only keeps what it is asked for, told of so many cache nodes."""
     methods = [
         {"name": name, "semantics": semantics, "latency_budget": 10**9, "give_up": 10**9, "criticality": 1.0}
@@ -74,6 +74,7 @@
     limits = {"connect_timeout": 250_000_000, "conn_idle": 10 * 10**9, "most_write_outs": 3} | limits
     config = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "ff"}
     config["settings"] = {"methods": methods, "limits": limits, "parties": [{"name": "t"}]}
+    config["settings"]["reporting"] = reporting
     reactor = MemoryReactorClock()
     reactor.advance(1000)
     made = Proxy(Run(checked(config, Config)), reactor, lambda: round(reactor.seconds() * S))
@@ -98,5 +99,5 @@
     return command(b"OBJ.GET", key, ident, fields)
 
 
-def hit(text=b"v"):
-    return b"*3\r\n" + bulk(text) + bulk(b"hit") + b"$-1\r\n"
+def hit(text=b"v", report=None):
+    return b"*3\r\n" + bulk(text) + bulk(b"hit") + (b"$-1\r\n" if report is None else bulk(report))
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -64,3 +64,27 @@
     wire.instances["proxy_0"].choice.where = None
     reply = play(wire, ["TURN", 2000], ["ASK", "proxy_0", 9, "read", None, 5, 3 * S * 1000], ["END"])
     assert reply[0][:2] == ["GIVE_IN", "proxy_0"] and reply[-1] == ["FINISHED"]
+
+
+def test_a_load_report_goes_to_the_decisions_and_one_that_is_none_is_malformed():
+    settings = {"methods": [METHOD], "weight_source": "live"}
+    settings["reporting"] = {"how": "answers", "columns": ["active"]}
+    entries = [["std", name, weight, 0, "active", "z", None] for name, weight in (("n1", 1), ("n2", None))]
+    for report, load in (({"active": 2, "cpu": 5}, 2), ({"active": -2}, 0), ({}, 0), (None, 0), ([1], None)):
+        wire = Wire()
+        play(
+            wire,
+            ["TURN", 1000],
+            ["UP", "proxy_0", 7, settings],
+            ["REGISTER", 0, entries],
+            ["MEMBERS", "proxy_0", 0, "C", 1],
+            ["END"],
+        )
+        reply = play(wire, ["TURN", 2000], ["ASK", "proxy_0", 9, "read", None, 5, 3 * S * 1000], ["END"])
+        done = ["FINISHED", "proxy_0", 9, 0, reply[0][4], "completed", 10, True, None, report]
+        if load is None:
+            with pytest.raises(BadLineError):
+                play(wire, ["TURN", 3000], done, ["END"])
+        else:
+            play(wire, ["TURN", 3000], done, ["END"])
+            assert wire.instances["proxy_0"].choice.nodes[reply[0][4]].load == load
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -6,7 +6,7 @@
 from helpers import S, choice, nodes, req
 
 from ivystack.choice import Live, Room
-from ivystack.model import FULL, GO, LEFT, SATISFIED, WAIT, Node
+from ivystack.model import FULL, GO, LEFT, REFUSED, SATISFIED, WAIT, Node
 
 
 def listing(*weights, kind=0):
@@ -179,3 +179,24 @@
     assert not made.room.has(node, 0.5, S)
     node.load = 0.0
     assert not made.room.has(node, 0.5, Live.AGE + S)  # news too old to tell
+
+
+def test_a_report_tells_what_is_held_or_at_least_what_waits():
+    live, node = Live(), nodes(1, weight=2.0)[0]
+    live.reported(node, {"active": 6, "waiting": 1}, S)
+    assert (node.load, node.load_at) == (3.0, S)
+    live.reported(node, {"waiting": 4}, 2 * S)
+    assert (node.load, node.load_at) == (Live.REST + 2.0, 2 * S)
+    live.reported(node, {"waiting": 0, "cpu": 0.1}, 3 * S)  # tells nothing of what it holds
+    assert node.load_at == 2 * S
+
+
+def test_a_refusing_origin_is_asked_less():
+    # Guards the origin whose table is full of all proxies' reqs: each was tried there again at once.
+    made = choice([*nodes(4), Node("o", kind=1)], origin=1)
+    origin = made.origins[0]
+    asked = req(write=True)
+    made.where(asked, 0)
+    before = origin.window
+    made.after(asked.write_outs[0], REFUSED, 10)
+    assert origin.window < before and origin.share < 1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -4,7 +4,7 @@
 from twisted.internet.error import ConnectBindError, ConnectionDone, ConnectionLost, ConnectionRefusedError
 from twisted.python.failure import Failure
 
-from ivystack.model import ERRORED, FULL, LEAVING, READY, RECALLED, REFUSED, SATISFIED, SEVERED
+from ivystack.model import ERRORED, FULL, LEAVING, READY, RECALLED, REFUSED, SATISFIED, SEVERED, Req
 from ivystack.net.front import Frame
 from ivystack.net.resp import VALUE, Resp, bulk, command
 from ivystack.net.tables import Deadlines, Slots
@@ -462,7 +462,7 @@
     made = proxy()
     seen = []
     whole = made.choice.after
-    made.choice.after = lambda write_out, outcome, now: seen.append(outcome) or whole(write_out, outcome, now)
+    made.choice.after = lambda sent, outcome, *more: seen.append(outcome) or whole(sent, outcome, *more)
     client(made).dataReceived(get())
     link(made).dataReceived(hit())
     assert seen == [SATISFIED]
@@ -522,7 +522,7 @@
 def outcomes_of(made):
     """What the decisions are told from now on."""
     outcomes, whole = [], made.choice.after
-    made.choice.after = lambda sent, outcome, now: outcomes.append(outcome) or whole(sent, outcome, now)
+    made.choice.after = lambda sent, outcome, *more: outcomes.append(outcome) or whole(sent, outcome, *more)
     return outcomes
 
 
@@ -635,3 +635,43 @@
             if one.out:
                 one.dataReceived(hit())
     assert [one.code for one in asking] == ["idle", "idle", None, None, None]
+
+
+REPORTS = {"how": "answers", "columns": ["active", "waiting"]}
+
+
+def test_a_nodes_load_report_reaches_the_pick():
+    made = proxy(2, REPORTS)
+    asking = client(made)
+    asking.dataReceived(get())
+    loaded = next(node for node in made.choice.nodes.values() if node.in_flight)
+    link(made).dataReceived(hit(report=b'{"active":50,"new":1}'))
+    assert loaded.load == 50
+    now = made.now()
+    picks = [made.choice.pick(Req(made.settings.methods["read"], now, now + S, 7), now) for _ in range(100)]
+    assert picks.count(loaded) < 20
+
+
+def test_a_load_report_that_cannot_be_read_spoils_nothing():
+    strange = b'{ [3] 5 {"active":-1} {"active":1e999} {"active":"x"}'.split()
+    for report in (*strange, b"", b"9" * 70_000):
+        made = proxy(1, REPORTS)
+        asking = client(made)
+        asking.dataReceived(get())
+        link(made).dataReceived(hit(report=report))
+        assert asking.transport.took() == b"$1\r\nv\r\n"
+        assert made.choice.nodes["n0"].load == 0 and not made.reqs
+    made = proxy(1)  # nor is one read that the settings do not name
+    client(made).dataReceived(get())
+    link(made).dataReceived(hit(report=b'{"active":50}'))
+    assert made.choice.nodes["n0"].load == 0
+
+
+def test_one_req_a_connection_where_the_settings_say_so_and_room_for_all():
+    # Guards against a quick answer that waits behind a slow one, and against a bound below what is out there.
+    made = proxy(1, streams_per_conn=1, may_duplicate=True)
+    asking = client(made)
+    asking.dataReceived(b"".join(get(b"%d" % i) for i in range(10)))
+    links = [link(made, i) for i in range(len(made.reactor.tcpClients))]
+    assert len(links) == 10
+    assert all(one.transport.took().count(b"OBJ.GET") == 1 for one in links)
