--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -876,8 +876,8 @@
             )
 
         def able(node: Node) -> bool:
-            open_ = self.room.has(node, req.part, now, req.calm, rest) and not self.queued(node, req.method, now)
-            return node not in tried and open_ and there(node)
+            has = self.room.has(node, req.part, now, req.calm, rest)
+            return has and node not in tried and there(node) and not self.queued(node, req.method, now)
 
         # Trial: a down node whose pause is over gets one retryable req of its own keys, or of its bad method.
         for node in turn:
@@ -899,7 +899,9 @@
             fit = [node for node in homes if able(node)]  # both replicas are out of reach: the spare
         # Guards the keys whose homes are all gone, down or cold, where half of the fleet is lost at once: the
         # walk goes on.  Never for strain: that would spread to nodes that lack the key.
-        while not fit and len(homes) < len(slots) and req.key is not None and not any(map(there, homes)):
+        while not fit and req.key is not None and len(homes) < len(slots):
+            if any(there(node) and node not in tried for node in homes):
+                break
             homes = self.placement.homes(req.key, 2 * len(homes))
             fit = [node for node in homes if able(node)]
         bound = max(self.FLOOR, self.SKIP * self.in_flight / len(slots))
@@ -910,8 +912,8 @@
         return min(fit, key=load, default=None)
 
     def queued(self, node: Node, method: Method, now: int) -> bool:
-        """What waits there takes over a quarter of the latency budget.  Guards against the jam of nodes whose late work
-        goes on: all proxies see it at one moment, so they leave it by chance, the more the longer it is."""
+        """What waits there takes over a quarter of the latency budget.  Guards against the jam of nodes whose
+        late work goes on: all proxies see it at one moment, so they leave it by chance, more the longer."""
         if not self.live or len(method.times) < 8:
             return False
         wait = self.live.load(node, now) * sorted(method.times)[len(method.times) // 4]
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -212,3 +212,14 @@
         left = sum(made.queued(node, asked.method, S) for _ in range(100))
         assert least <= left <= most
     assert not made.queued(node, req().method, S)  # nothing known yet of how long such reqs take
+
+
+def test_a_full_home_that_is_the_only_one_left_lets_the_walk_go_on():
+    made = choice(nodes(12))
+    only, other, spare = made.placement.homes(7, 2)
+    made.listed([Node(other.name, state=LEFT), Node(spare.name, state=LEFT)], False, 0)
+    asked = req()
+    assert made.where(asked, 0)[1] is only
+    made.after(asked.write_outs[0], FULL, 10)
+    made.wait(10)
+    assert made.where(asked, 10)[1] in made.placement.homes(7, 6)[2:]
