--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -16,7 +16,6 @@
 import heapq
 from bisect import bisect_left
 from collections import OrderedDict, deque
-from collections.abc import Iterable
 from hashlib import blake2b
 from math import ceil, inf, log2
 from random import Random
@@ -34,8 +33,7 @@
 
 
 def digits(rid: int, count: int, first: int = 1, parts: int = 1) -> list[int]:
-    """The factorial digits x_0 .. x_(count-1) of rid, x_l in 0..l; past its end they are zeros, which count.
-    Each is told in so many parts.
+    """The factorial digits x_0 .. x_(count-1) of rid, x_l in 0..l in so many parts; zeros at the end count.
 
     >>> digits(1000, 8)
     [0, 0, 2, 2, 1, 2, 1, 0]
@@ -133,12 +131,9 @@
     def adopt(self, marks: list[bytes], nodes: list[Node], now: int) -> None:
         """The order that another proxy keeps; who is not on our list is awaited, as after a crash."""
         known = {mark(node): node for node in nodes}
-        weight = sum(node.weight for node in nodes) / max(1, len(nodes))
-        self.slots = [
-            known.get(one)
-            or Node(one.hex(), weight=weight, state=LEFT, left_at=now, window=Room.START, unnamed=True)
-            for one in marks
-        ]
+        more = dict(state=LEFT, left_at=now, window=Room.START, unnamed=True)
+        more["weight"] = sum(node.weight for node in nodes) / max(1, len(nodes))
+        self.slots = [known.get(one) or Node(one.hex(), **more) for one in marks]
         self.known.clear()
         self.settle(nodes, now)
 
@@ -175,10 +170,7 @@
 
 
 class Popular:
-    """More replicas for a key that is hotter than its caches can bear: the design's soft spot.
-
-    With many caches one key of some percent of the traffic is several caches' load.  Own reqs show it.
-    """
+    """More replicas for a key that is hotter than its caches can bear, as own reqs show: a soft spot."""
 
     KEPT = 64  # last keys: a key of a twentieth of the traffic shows thrice; a light proxy's last 15 s or so
     EACH = 0.33  # of a cache's mean load is what a key may add to a replica: half, quarter tried
@@ -188,9 +180,7 @@
 
     def replicas(self, key: int | None, k: int, slots: int) -> int:
         """How many a key is given, at least k; the req itself does not count, so a key seen once gets k."""
-        if not self.last:
-            return k
-        loads = (self.last.count(key) - 1) / len(self.last) * slots
+        loads = (self.last.count(key) - 1) / max(1, len(self.last)) * slots
         return max(k, min(slots, ceil(loads / self.EACH)))
 
 
@@ -202,8 +192,8 @@
 
     FAILED = 2  # in a row: one can be chance, and each further one costs a req its time
     PAUSE = 500_000  # before a down node's first trial; doubled a trial, up to eight times that
-    # Own reqs passed by before its first trial, doubled alike: where hundreds of proxies meet a node every
-    # several seconds each, any pause is over at the next req, and their trials would be its usual load.
+    # Own reqs passed by before that, doubled alike: where hundreds of proxies meet a node every several
+    # seconds each, any pause is over at the next req, and their trials would be its usual load.
     PASSED = 2
 
     def up(self, node: Node) -> bool:
@@ -280,8 +270,8 @@
 class Cold:
     """A cold node is open to the part of its reqs that it can be counted on for, whoever sends them.
 
-    Guards against pushing it over: each req draws its luck once, so the loads of all proxies together are
-    that part of the node's usual load, however many they are and whatever they know; nothing is saved up.
+    Guards against pushing it over: each req draws its luck once, so all proxies' loads together are that part
+    of the node's usual load, however many they are and whatever they know; nothing is saved up.
     """
 
     def __init__(self, cold_share: float, cold: int):
@@ -300,8 +290,7 @@
 class Room:
     """How many of our write-outs a node bears at once, and what part of our reqs: shown by what came in time.
 
-    Guards against the jam: where late work is not stopped, a deep queue makes all behind it late, so sending
-    on keeps the queue full.  With every proxy doing the same the node's queue drains.
+    Guards against the jam: where late work is not stopped, sending on keeps a queue full that makes all late.
     """
 
     LEAST, MOST = 0.05, 64.0  # one in 2 s shows when it is better; the most bounds a fall
@@ -320,8 +309,8 @@
     # Of the common share: one in eleven out of time leaves all, one in four a third, one in two a tenth.
     FALL_ALL, BACK_ALL = 0.8, 0.02
     BACK = 0.15  # of a node's share with an answer: one in five out of time leaves all, one in two a third
-    # Of both is left after a slow answer, of such a part of the latency budget: where a miss is told at once,
-    # half of it is a queue; elsewhere a miss may take that long, so two in a row have to be.
+    # Of both is left after a slow answer, of such a part of the budget: where a miss is told at once, half is
+    # a queue; elsewhere a miss may take that long, so two in a row have to be.
     EBB, SLOW_ASIDE, SLOW = 0.92, 0.5, 0.75
     FRESH = 500_000  # what the node itself showed this lately goes before what all show: some answers' time
 
@@ -332,8 +321,7 @@
         # Listed at rest is as good: guards a good node against what the rest of the fleet shows.
         rests = node.load <= Live.REST and now < node.load_at + Live.AGE
         heard = (now < node.heard + self.FRESH or rests) and node.window >= 1
-        share = node.share if heard else min(node.share, self.common)
-        if share < max(1 - part, calm):
+        if (node.share if heard else min(node.share, self.common)) < max(1 - part, calm):
             return False
         room = part * node.window
         if room < 1:  # below one write-out at a time, one after a rest
@@ -367,10 +355,8 @@
 
 
 class Shares:
-    """What a req is worth beside the others: its rank among the last says how much of a window it may use.
-
-    So under pressure the least worth is turned away first, and only at the nodes that are pressed.
-    """
+    """A req's rank among the last, by worth, says how much of a window it may use: under pressure the least
+    worth is turned away first, and only at the nodes that are pressed."""
 
     KEPT = 200  # last reqs to be ranked among: a second or so of a busy proxy's
     LEAST = 0.1  # of a window, for the least worth
@@ -393,10 +379,8 @@
             self.last.popleft()[0].recent -= 1
 
     def within(self, tenant: Tenant, now: int) -> float:
-        """The part of a tenant's traffic that its share covers.
-
-        We see only a part of all traffic, of unknown size: the middle tenant's rate over its allowance is it.
-        """
+        """The part of a tenant's traffic that its share covers.  We see an unknown part of all traffic: the
+        middle tenant's rate over its allowance is it."""
         due = sum(t.allowance for t in self.tenants)
         if not tenant.allowance:
             return 1.0
@@ -474,9 +458,7 @@
     shares alone, as one write-out of ours would, so a lost, late, repeated or wrong message does little.
     """
 
-    # A message: well below the time in which forty proxies, none of which has seen it, jam a node (1 s or
-    # less); that of each second's endings came when it was over.  Bytes are counted, not messages.
-    EVERY = 250_000
+    EVERY = 250_000  # well below the time in which forty proxies, none of which has seen it, jam a node
     SOON = 30_000  # one with a bad ending: a jam grows by what comes meanwhile, and endings come in bursts
     TO = 12  # peers each, drawn anew: everyone then hears of that many times the endings of its own
     SIZE = 4  # bytes an ending: three of the node's name, hashed, and how it ended
@@ -503,7 +485,7 @@
         peers = self.rng.sample(self.others, min(self.TO, len(self.others)))
         return [Req(None, now, now, saying=(peer, words)) for peer in peers]
 
-    def knows(self, nodes: Iterable[Node]) -> None:
+    def knows(self, nodes: list[Node]) -> None:
         self.marked = {mark(node): node for node in nodes}
 
     def told(self, words: bytes) -> list[tuple[Node, bool]]:
@@ -578,9 +560,8 @@
 
     def __init__(
         self, rng: Random, placement: Placement, health: Health, cold: Cold, room: Room, shares: Shares,
-        links: Links, hearsay: Hearsay | None = None, order: Order | None = None, live: Live | None = None, *,
-        origin: int,
-        most_write_outs: int, may_duplicate: bool, come_back: int, tick: int,
+        links: Links, hearsay: Hearsay | None = None, order: Order | None = None, live: Live | None = None,
+        *, origin: int, most_write_outs: int, may_duplicate: bool, come_back: int, tick: int,
     ):  # fmt: skip
         self.rng, self.placement, self.health, self.cold = rng, placement, health, cold
         self.room, self.shares, self.links = room, shares, links
@@ -610,28 +591,27 @@
             elif self.placement.live:
                 self.live.listed(node, new.weight, now)
             if node is not new:
-                if new.started != node.started and new.state == READY and new.started > node.started:
+                if new.state == READY and new.started > node.started:
                     node.started, node.failures, node.trials, node.errors = new.started, 0, 0, {}
                 node.zone, node.cell, node.state = new.zone, new.cell, new.state
             if node.state == LEFT:
                 node.left_at = now
             else:
                 node.drained = node.state != READY
-        if whole:
-            names = {node.name for node in nodes}
-            for node in self.nodes.values():
-                if node.name not in names and node.state != LEFT:
-                    node.state, node.left_at = LEFT, now
+        names = {node.name for node in nodes} if whole else self.nodes
+        for node in self.nodes.values():
+            if node.name not in names and node.state != LEFT:
+                node.state, node.left_at = LEFT, now
         caches = [node for node in self.nodes.values() if node.kind != self.origin_kind]
         self.origins = [n for n in self.nodes.values() if n.kind == self.origin_kind and n.state == READY]
         if self.placement.live and self.live.sized(caches, now):
             self.placement.known.clear()
         self.placement.settle(caches, now)
-        # What is known of a node goes with it, once no slot awaits it: guards the memory, ids are ever new.
+        # Guards the memory: what is known of a node goes with it, once no slot awaits it; ids are ever new.
         kept = {*self.placement.slots, *(n for n in self.nodes.values() if n.state != LEFT or n.in_flight)}
         self.nodes = {name: node for name, node in self.nodes.items() if node in kept}
         if self.hearsay:
-            self.hearsay.knows(self.nodes.values())
+            self.hearsay.knows([*self.nodes.values()])
 
     def told(self, words: bytes, now: int) -> None:
         """A peer's message: news like the list's."""
@@ -663,16 +643,15 @@
         if spent or (again and self.spare < 1):
             return (WAIT, None, 0) if out else self.never(req)
         node = self.pick(req, now)
-        if node is None and not out and (not req.write_outs or self.may_nack(req)):
-            return self.hold(req, now, end)
+        if node is None and out:
+            return WAIT, None, 0
         if node is None:
-            return (WAIT, None, 0) if out else self.never(req)
+            return self.hold(req, now, end) if not req.write_outs or self.may_nack(req) else self.never(req)
         if again:
             self.spare -= 1
         until = self.until(req, node, now, end)
-        write_out = WriteOut(req, node, now, until)
         sick = self.sick(node, req.method)
-        write_out.trial = sick is not None
+        write_out = WriteOut(req, node, now, until, trial=sick is not None)
         if sick:
             self.health.failed(sick, False, now)
         req.write_outs.append(write_out)
@@ -760,8 +739,7 @@
         ready = [*self.first, *self.further, *self.links.due(now)]
         for talk in (self.hearsay, self.order):
             ready += talk.due(now) if talk else []
-        self.first.clear()
-        self.further.clear()
+        self.first, self.further = deque(), deque()
         standing = [self.links.rest(), *(talk.next_at for talk in (self.hearsay, self.order) if talk)]
         next_at = [at for at in (self.due[0][0] if self.due else None, *standing) if at is not None]
         return (min(next_at) - now if next_at else None), ready
@@ -776,8 +754,8 @@
         return end - self.MARGIN * self.tick
 
     def patience(self, method: Method, left: int, trial: bool = False) -> int:
-        """How long a write-out may take before another is worth trying: three times what nine in ten of the
-        last took, but at least half of what is left: a copy sent sooner feeds the queue that made it late."""
+        """How long a write-out may take before another is worth trying: three times what nine in ten took, at
+        least half of what is left: a copy sent sooner feeds the queue that made it late."""
         times = sorted(method.times)
         if trial:  # the node is down for all we know, and the req shall not suffer for our finding out
             return min(2 * times[len(times) // 2], left // 3) if times else left // 3
@@ -785,8 +763,7 @@
         return max(min(usual, left), left // 2)
 
     def until(self, req: Req, node: Node, now: int, end: int) -> int:
-        # There is no other origin to try.
-        last = len(req.write_outs) + 1 >= self.most or node.kind == self.origin_kind
+        last = len(req.write_outs) + 1 >= self.most or node.kind == self.origin_kind  # no other is there
         if self.may_duplicate or not self.repeatable(req) or last:
             return end
         return now + self.patience(req.method, end - now)
@@ -812,9 +789,8 @@
         return req.method.semantics != NON_RETRYABLE
 
     def may_nack(self, req: Req) -> bool:
-        ran = self.may_have_run(req)
         deduplicated = req.method.semantics == DEDUPLICATED and req.method.group == "all"
-        return not ran or req.method.semantics == RETRYABLE or deduplicated
+        return req.method.semantics == RETRYABLE or deduplicated or not self.may_have_run(req)
 
     def may_send_again(self, req: Req, now: int) -> bool:
         if len(req.write_outs) >= self.most:
@@ -853,13 +829,11 @@
         slots = self.placement.slots
         if not slots:
             return None
-        k = self.placement.K
-        if req.key is not None:
-            k = self.popular.replicas(req.key, k, len(slots))
-        homes = self.placement.homes(req.key if req.key is not None else self.rng.getrandbits(50), k)
+        key, k = self.rng.getrandbits(50) if req.key is None else req.key, self.placement.K
+        k = k if req.key is None else self.popular.replicas(key, k, len(slots))
+        homes = self.placement.homes(key, k)
         replicas = homes[:k]
         tried = [w.node for w in req.write_outs if w.outcome != SUPERSEDED]
-        lone = not self.may_have_run(req)
         # By size for a hot key: it brings each replica as much, though that be a small one's whole capacity.
         sizes = [node.weight if k > self.placement.K else 1 for node in replicas]
         start = self.rng.choices(range(len(replicas)), sizes)[0] if sum(sizes) else 0
@@ -867,42 +841,30 @@
 
         def there(node: Node) -> bool:
             # A cold one in its own turn alone: guards it against what others are too full or too few to take.
-            warmth = self.cold.warmth(node, now)
-            return (
-                node.state == READY
-                and self.within_group(req, node)
-                and not self.sick(node, req.method)
-                and (warmth == 1 or (req.luck < warmth and node is turn[0]))
-            )
+            warmth = self.cold.warmth(node, now) if node is turn[0] else int(self.cold.warmth(node, now))
+            up = node.state == READY and node not in tried and not self.sick(node, req.method)
+            return up and req.luck < warmth and self.within_group(req, node)
 
         def able(node: Node) -> bool:
             has = self.room.has(node, req.part, now, req.calm, rest)
-            return has and node not in tried and there(node) and not self.queued(node, req.method, now)
+            return has and there(node) and not self.queued(node, req.method, now)
 
         # Trial: a down node whose pause is over gets one retryable req of its own keys, or of its bad method.
         for node in turn:
             sick = self.sick(node, req.method)
             if sick and now == req.arrived:
                 sick.passed += 1
-            if (
-                sick
-                and node.state == READY
-                and self.health.due(sick, now)
-                and lone
-                and (req.method.semantics == RETRYABLE or sick is not node)
-                and not req.write_outs
-                and req.luck < self.cold.warmth(node, now)
-            ):
-                return node
+            may = not req.write_outs and (req.method.semantics == RETRYABLE or sick is not node)
+            if sick and may and node.state == READY and self.health.due(sick, now):
+                if req.luck < self.cold.warmth(node, now):
+                    return node
         fit = [node for node in turn if able(node)]
         if not fit:
             fit = [node for node in homes if able(node)]  # both replicas are out of reach: the spare
         # Guards the keys whose homes are all gone, down or cold, where half of the fleet is lost at once: the
         # walk goes on.  Never for strain: that would spread to nodes that lack the key.
-        while not fit and req.key is not None and len(homes) < len(slots):
-            if any(there(node) and node not in tried for node in homes):
-                break
-            homes = self.placement.homes(req.key, 2 * len(homes))
+        while not fit and len(homes) < len(slots) and not any(map(there, homes)):
+            homes = self.placement.homes(key, 2 * len(homes))
             fit = [node for node in homes if able(node)]
         bound = max(self.FLOOR, self.SKIP * self.in_flight / len(slots))
         for node in fit:
@@ -925,8 +887,7 @@
         return self.rng.random() * self.live.load(node, now) > bound
 
     def doubt(self, req: Req) -> None:
-        """A write-out that outlasts patience counts against its node at once: a silent node answers
-        nothing, and waiting for each time-out would feed it for a latency budget more."""
+        """A write-out that outlasts patience counts against its node at once: a silent one is fed no more."""
         for write_out in req.write_outs:
             if write_out.outcome is None and not write_out.doubted and not self.passed_by(write_out):
                 write_out.doubted = True
