A cold node that is listed loaded takes the less

A cold node's part is its stated warmth times what it would get, and where the fleet is asked for twice what it can do that is twice its capacity too (Cold.warmth).

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -281,7 +281,10 @@
         """The part of its capacity that it can be counted on for; 1 once it is warm."""
         if not node.started or not self.cold:
             return 1.0
-        return min(1.0, self.share + (1 - self.share) * max(0, now - node.started) / self.cold)
+        part = self.share + (1 - self.share) * max(0, now - node.started) / self.cold
+        # Guards it where all that is asked is more than the fleet can do, and its part with it.
+        held = node.load if now < node.load_at + Live.AGE else 0.0
+        return 1.0 if part >= 1 else part / max(Live.REST, held)
 
 
 # --- Sharing under pressure ---
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -223,3 +223,16 @@
     made.after(asked.write_outs[0], FULL, 10)
     made.wait(10)
     assert made.where(asked, 10)[1] in made.placement.homes(7, 6)[2:]
+
+
+def test_a_cold_node_listed_loaded_takes_the_less():
+    # Guards the fourth rule where all that is asked is more than the fleet can do.
+    made = choice(listing(*[4.0] * 6), live=True, cold_share=0.5, cold=20 * S)
+    node = made.placement.slots[0]
+    node.started = 1
+    assert made.cold.warmth(node, 1) == 0.5
+    node.load, node.load_at = 5.0, S
+    assert made.cold.warmth(node, S) < 0.15
+    assert made.cold.warmth(node, S + Live.AGE) > 0.5  # forgotten
+    node.started = 0
+    assert made.cold.warmth(node, S) == 1  # a warm one is not cold for being loaded
