--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -200,7 +200,6 @@
         return node.failures < self.FAILED
 
     def due(self, node: Node, now: int) -> bool:
-        """A down node's pause is over, in time and in reqs passed by."""
         return now >= node.trial_at and node.passed >= self.PASSED << min(max(node.trials - 1, 0), 3)
 
     def failed(self, node: Node, broken: bool, now: int) -> None:
@@ -274,8 +273,11 @@
     of the node's usual load, however many they are and whatever they know; nothing is saved up.
     """
 
-    def __init__(self, cold_share: float, cold: int):
+    def __init__(self, cold_share: float, cold: int, fall: float):
         self.share, self.cold = cold_share, cold
+        # Of what its keys' other homes can't take: the stated multiple leaves room for it beyond two, which
+        # chance and clients that try again may make of its own part.
+        self.spill = min(1.0, max(0.0, (fall - 2) / 2))
 
     def warmth(self, node: Node, now: int) -> float:
         """The part of its capacity that it can be counted on for; 1 once it is warm."""
@@ -479,7 +481,6 @@
             self.next_at = at if self.next_at is None else min(at, self.next_at)
 
     def due(self, now: int) -> list[Req]:
-        """Standing reqs, one for each message to be sent now."""
         if self.next_at is None or now < self.next_at:
             return []
         self.next_at = None
@@ -509,15 +510,13 @@
     HEAD, SLOTS = 9, 80  # bytes before the marks, and marks in a message of at most 256
 
     def __init__(self, rng: Random, me: int, proxies: int):
-        self.rng, self.me = rng, me
-        self.others = [peer for peer in range(proxies) if peer != me]
+        self.rng, self.me, self.others = rng, me, [peer for peer in range(proxies) if peer != me]
         self.grown_at: int | None = None
         self.next_at: int | None = 0 if self.others else None
         self.replies: deque[tuple[int, bytes]] = deque(maxlen=256)
         self.parts: dict[bytes, dict[int, bytes]] = {}
 
     def due(self, now: int) -> list[Req]:
-        """Standing reqs, one for each message to be sent now."""
         said = [*self.replies]
         self.replies.clear()
         if self.grown_at is None:
@@ -582,8 +581,6 @@
         self.first: deque[Req] = deque()
         self.further: deque[Req] = deque()
 
-    # The list.
-
     def listed(self, nodes: list[Node], whole: bool, now: int) -> None:
         """List news: nodes as now listed.  One known before keeps its object."""
         for new in nodes:
@@ -628,8 +625,6 @@
             often = not self.many and now < node.heard + self.room.FRESH
             self.room.told(node, well, self.room.FALL_ALL if often else self.room.FALL_SHARE)
 
-    # The three calls.
-
     def where(self, req: Req, now: int) -> tuple:
         if req.closing or req.saying:
             return GO, req.closing, 0
@@ -714,7 +709,9 @@
             # An origin that refuses is full of all proxies' reqs, and there is no other: guards what is left.
             if outcome == OVERDUE or node.kind == self.origin_kind:
                 self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node), often)
-        elif outcome == FULL:  # told at once and nothing ran: no jam, so no word on other nodes
+        elif outcome == FULL and not self.live:
+            self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node), often)
+        elif outcome == FULL:  # where loads are told it tells of that moment alone, and nothing of others
             cold = self.cold.warmth(node, now) < 1  # what it turns away counts towards its fall
             self.room.told(node, False, self.room.FALL_SHARE if cold else self.room.FALL_ALL)
         if self.hearsay and outcome not in (RECALLED, SUPERSEDED):
@@ -747,8 +744,6 @@
         next_at = [at for at in (self.due[0][0] if self.due else None, *standing) if at is not None]
         return (min(next_at) - now if next_at else None), ready
 
-    # Time.
-
     def end(self, req: Req) -> int:
         """When an answer is worth nothing any more, or nobody waits for it."""
         end = req.give_up_at
@@ -783,8 +778,6 @@
         self.later(req, soon)
         return WAIT, None, 0
 
-    # What may be done with a req that may have run.
-
     def may_have_run(self, req: Req) -> list[WriteOut]:
         return [w for w in req.write_outs if w.outcome not in NEVER_RAN]
 
@@ -817,8 +810,6 @@
         """Given up: the answer goes out at once, a nack where that is true."""
         return (NACK, None, self.come_back) if self.may_nack(req) else (FAIL, None, 0)
 
-    # Picking.
-
     def pick(self, req: Req, now: int) -> Node | None:
         if not self.may_send_again(req, now):
             return None
@@ -836,18 +827,23 @@
         k = k if req.key is None else self.popular.replicas(key, k, len(slots))
         homes = self.placement.homes(key, k)
         replicas = homes[:k]
-        tried = [w.node for w in req.write_outs if w.outcome != SUPERSEDED]
-        # By size for a hot key: it brings each replica as much, though that be a small one's whole capacity.
-        sizes = [node.weight if k > self.placement.K else 1 for node in replicas]
-        start = self.rng.choices(range(len(replicas)), sizes)[0] if sum(sizes) else 0
+        again = (SUPERSEDED,) if self.live else (SUPERSEDED, FULL)  # after these the same node may be asked
+        tried = [w.node for w in req.write_outs if w.outcome not in again]
+        start = self.rng.randrange(len(replicas))
+        if self.live and k > self.placement.K:  # by size: guards small ones, a hot key brings each alike
+            start = self.rng.choices(range(len(replicas)), [node.weight for node in replicas])[0]
         turn = replicas[start:] + replicas[:start]
 
         def there(node: Node) -> bool:
-            # A cold one in its own turn alone: guards it against what others are too full or too few to take.
-            warmth = self.cold.warmth(node, now) if node is turn[0] else int(self.cold.warmth(node, now))
+            # A cold one beyond its own turn by the spill: guards it against what others are too few to take.
+            warmth = self.cold.warmth(node, now)
+            warmth *= 1 if node is turn[0] or warmth == 1 else self.cold.spill
             up = node.state == READY and node not in tried and not self.sick(node, req.method)
             return up and req.luck < warmth and self.within_group(req, node)
 
+        def jammed(node: Node) -> bool:
+            return node.state == READY and not self.health.up(node) and not node.broken
+
         def able(node: Node) -> bool:
             has = self.room.has(node, req.part, now, req.calm, rest)
             return has and there(node) and not self.queued(node, req.method, now)
@@ -864,17 +860,17 @@
         fit = [node for node in turn if able(node)]
         if not fit:
             fit = [node for node in homes if able(node)]  # both replicas are out of reach: the spare
-        # Guards the keys whose homes are all gone, down or cold, where half of the fleet is lost at once: the
-        # walk goes on.  Never for strain: that would spread to nodes that lack the key.
-        while not fit and len(homes) < len(slots) and not any(map(there, homes)):
+        # Guards the keys whose homes are all gone, refuse us or are cold, where half of the fleet is lost at
+        # once: the walk goes on, where loads are told.  Never for strain: it would only spread.
+        far = len(slots) if self.live else 0
+        while not fit and len(homes) < far and not any(there(node) or jammed(node) for node in homes):
             homes = self.placement.homes(key, 2 * len(homes))
             fit = [node for node in homes if able(node)]
         bound = max(self.FLOOR, self.SKIP * self.in_flight / len(slots))
         for node in fit:
             if node.in_flight <= bound and not (self.live and self.heavy(node, now)):
                 return node
-        load = (lambda node: self.live.load(node, now)) if self.live else (lambda node: node.in_flight)
-        return min(fit, key=load, default=None)
+        return min(fit, key=lambda n: self.live.load(n, now) if self.live else n.in_flight, default=None)
 
     def queued(self, node: Node, method: Method, now: int) -> bool:
         """What waits there takes over a quarter of the latency budget.  Guards against the jam of nodes whose
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -21,6 +21,8 @@
 
 SEMANTICS = {"pure": RETRYABLE, "token": DEDUPLICATED, "side_effect": NON_RETRYABLE}
 
+FALL_MULTIPLE = 4.0  # of its capacity that pushes a cold node over, where the rules state none
+
 Ns = Annotated[int, Meta(ge=0)] | None  # a span in nanoseconds
 Part = Annotated[float, Meta(ge=0, le=1)] | None
 Figure = Annotated[float, Meta(ge=0)] | None
@@ -61,6 +63,7 @@
 class RulesSheet(Struct):
     cold: Ns = None
     cold_share: Part = None
+    overload_factor: Figure = None
 
 
 class ReportingSheet(Struct):
@@ -170,7 +173,7 @@
             rng,
             Placement(sheet.weight_source in ("nominal", "rough"), live),
             Health(),
-            Cold(rules.cold_share or 1.0, us(rules.cold)),
+            Cold(rules.cold_share or 1.0, us(rules.cold), rules.overload_factor or FALL_MULTIPLE),
             Room(),
             Shares(rng, list(self.tenants.values()), 1.0 if excess is None else excess, proxies),
             Links(self.idle, proxies),
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -74,15 +74,18 @@
 
 def test_a_key_whose_homes_are_all_gone_goes_on_along_its_walk():
     # Guards against nacking what other nodes could take, where a lost zone holds all of a key's homes.
-    made = choice(nodes(12))
+    made = choice(nodes(12), live=True)
     homes = made.placement.homes(7, 2)
     made.listed([Node(node.name, state=LEFT) for node in homes], False, S)
     word, node, _ = made.where(req(arrived=S), S)
     assert word == GO and node not in homes and node in made.placement.homes(7, 6)
+    made.popular.last.clear()
+    made.live = None  # blind: the nodes that are left may be no better
+    assert made.where(req(arrived=S), S)[0] == WAIT
 
 
 def test_strain_alone_sends_no_key_beyond_its_homes():
-    made = choice(nodes(12))
+    made = choice(nodes(12), live=True)
     for node in made.placement.homes(7, 2):
         node.share = 0.0
     made.shares.part_of_window(req(), 0)
@@ -93,13 +96,29 @@
 
 def test_a_full_node_says_nothing_of_others_and_is_not_asked_again():
     # Guards against closing a fleet whose waiting rooms are short, where each is full now and then.
-    made = choice(nodes(4))
-    asked = req()
-    first = made.where(asked, 0)[1]
-    made.after(asked.write_outs[0], FULL, 10)
-    assert made.room.common == 1 and first.window == Room.START and first.share == Room.FALL_ALL
-    made.wait(10)
-    assert made.where(asked, 10)[1] is not first
+    for live in (True, False):
+        made = choice(listing(*[4.0] * 4), live=live)
+        asked = req()
+        first = made.where(asked, 0)[1]
+        made.after(asked.write_outs[0], FULL, 10)
+        # Where no loads are told it is what tells of a jam: 40 proxies fed one else.
+        assert (made.room.common == 1) is (first.window == Room.START) is live
+        assert first.share == (Room.FALL_ALL if live else Room.FALL_SHARE)
+        made.wait(10)
+        if live:
+            assert made.where(asked, 10)[1] is not first
+
+
+def test_a_walk_does_not_go_on_past_homes_that_are_down_by_late_answers():
+    # Guards a jammed fleet: its reqs would come to nodes that lack the key.
+    made = choice(nodes(12), live=True)
+    homes = made.placement.homes(7, 2)
+    for node in homes:
+        node.failures, node.trial_at = 2, 9 * S
+    assert made.pick(lucky(S), S) is None
+    for node in homes:
+        node.broken = True  # refused: gone, whatever the list says
+    assert made.pick(lucky(S), S) in set(made.placement.slots) - set(homes)
 
 
 def test_a_reads_last_write_out_goes_to_the_origin_where_that_is_asked_apart():
@@ -116,13 +135,17 @@
 
 def test_a_cold_node_takes_nothing_that_its_keys_other_homes_cannot():
     # Guards the fourth rule: full or gone, the others' part came on top of the cold one's own.
-    made = choice(nodes(6), cold_share=0.5, cold=20 * S)
+    made = choice(nodes(6), cold_share=0.5, cold=20 * S, fall=2.0)
     cold, other = made.placement.homes(7, 2)[:2]
     cold.started, other.share = 2 * S, 0.0
     picks = Counter(made.pick(lucky(2 * S), 2 * S) for _ in range(200))
     assert 60 < picks[cold] < 140  # its own turns
     cold.started = 0
     assert {made.pick(lucky(2 * S), 2 * S) for _ in range(50)} == {cold}
+    made = choice(nodes(6), cold_share=0.5, cold=20 * S, fall=4.0)  # as much as it is said to bear
+    cold, other = made.placement.homes(7, 2)[:2]
+    cold.started, other.share = 2 * S, 0.0
+    assert {made.pick(lucky(2 * S), 2 * S) for _ in range(50)} == {cold}
 
 
 def lucky(now):
@@ -146,7 +169,7 @@
 
 
 def test_what_a_cold_node_turns_away_closes_it_further():
-    made = choice(nodes(4), cold_share=0.9, cold=20 * S)
+    made = choice(nodes(4), cold_share=0.9, cold=20 * S, live=True)
     asked = req()
     node = made.where(asked, 0)[1]
     node.started = 1
@@ -215,7 +238,7 @@
 
 
 def test_a_full_home_that_is_the_only_one_left_lets_the_walk_go_on():
-    made = choice(nodes(12))
+    made = choice(nodes(12), live=True)
     only, other, spare = made.placement.homes(7, 2)
     made.listed([Node(other.name, state=LEFT), Node(spare.name, state=LEFT)], False, 0)
     asked = req()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -670,6 +670,7 @@
 def test_one_req_a_connection_where_the_settings_say_so_and_room_for_all():
     # Guards against a quick answer that waits behind a slow one, and against a bound below what is out there.
     made = proxy(1, streams_per_conn=1, may_duplicate=True)
+    made.choice.nodes["n0"].window = 64.0  # rank shall not bind here
     asking = client(made)
     asking.dataReceived(b"".join(get(b"%d" % i) for i in range(10)))
     links = [link(made, i) for i in range(len(made.reactor.tcpClients))]
