--- a/ivystack/__main__.py
+++ b/ivystack/__main__.py
@@ -43,7 +43,6 @@
 def start(proxy, reactor) -> None:
     try:
         proxy.start()
-        proxy.started = True
     except Exception as fault:
         logger.error("could not start: {}", fault)
         reactor.stop()
--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -8,6 +8,7 @@
 
 import re
 from collections import OrderedDict, deque
+from itertools import takewhile
 
 from loguru import logger
 from twisted.internet.protocol import ServerFactory
@@ -17,6 +18,7 @@
 from .tables import Slots
 
 PONG, OK, BUSY, FAILED = b"+PONG\r\n", b"+OK\r\n", b"-BUSY\r\n", b"-ERR failed\r\n"
+DRAINS = b"-ERR draining\r\n"
 WRITES = {b"OBJ.GET": False, b"OBJ.SET": True}
 WAIT = re.compile(rb"(?:^|,)d=(\d{1,9})(?=,|$)")
 
@@ -82,6 +84,7 @@
         self.half: list | None = None  # the deadline for a whole command
         self.stuck: list | None = None  # the deadline for reading what we have written
         self.blocked = False  # the transport holds more than it could pass on
+        self.reading = False  # more commands may lie behind the one just read
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
@@ -93,7 +96,11 @@
         self.front.make_room(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.reading = True
         super().dataReceived(data)
+        self.reading = False
+        if self.front.draining and self.done():
+            return self.leave(self.front.draining)
         if self.deaf or self.paused or self.between():
             self.front.deadlines.drop(self.half)
             self.half = None
@@ -143,9 +150,11 @@
         while self.owed and self.owed[0][0] is not None:
             self.transport.write(self.owed.popleft()[0])
         if not self.owed and self.transport.connected:
-            if self.deaf or self.front.stopping:
+            if self.deaf:
                 self.leave("stopping")
             elif self.asked:
+                if self.front.draining and self.done():
+                    return self.leave(self.front.draining)  # answer and end go out together
                 self.front.fresh.pop(self, None)
                 self.since = self.front.now()
                 self.front.idle[self] = None
@@ -153,6 +162,10 @@
                 self.front.tidy(self.since)
         self.go_on()
 
+    def done(self) -> bool:
+        """All that came has been read, taken and answered."""
+        return bool(self.asked and not self.owed and not self.reading and not self.deaf and self.between())
+
     def go_on(self) -> None:
         if self.paused and not self.deaf and not self.blocked and len(self.owed) < self.MOST:
             super().resumeProducing()
@@ -197,7 +210,11 @@
     # a second ask once and stay, the part of the descriptors that clients may hold is soon gone.
     IDLE, SOON = 2_000_000, 100_000
     YOUNG = 100_000  # a usual client's first req is here by then
-    SPARE = 32  # descriptors for all else: the list, peers, the log, Python's own
+    SPARE = 32  # descriptors for all else: the list, peers, operators, the log, Python's own
+    # A drain: its slices, and the time over which idle ones are closed where the operators call for it: their
+    # clients come back elsewhere spread over it, and it ends well before the 4 s at which none may be left.
+    SLICE, SPREAD = 20_000, 1_000_000
+    HALF = 900_000  # after those a command that has not come whole is given up: it may be for long no req yet
 
     def __init__(self, deadlines, now, taken, gone, ready, methods, tenants, most: int, memory: int):
         self.deadlines, self.now = deadlines, now
@@ -209,7 +226,10 @@
         self.fresh: OrderedDict[Client, None] = OrderedDict()  # have said nothing whole yet; oldest first
         self.idle: OrderedDict[Client, None] = OrderedDict()  # of the others; longest idle first
         self.ids: set[bytes] = set()  # of the reqs in hand
-        self.stopping = False
+        self.draining = ""  # the code with which connections are closed; empty: they are kept
+        self.refuses = False  # PING is answered no
+        self.until = 0  # by when idle ones are to be closed
+        self.next: list | None = None  # the next slice's deadline
         self.bytes = 0  # of values in hand
 
     def buildProtocol(self, addr):  # noqa: N802
@@ -235,6 +255,8 @@
         oldest.leave("no-room")
 
     def plain(self, name: bytes) -> bytes:
+        if name == b"PING" and self.refuses:
+            return DRAINS
         if name == b"PING":
             return PONG if self.ready() else b"-ERR no cache node is ready\r\n"
         if name in (b"CLIENT", b"SELECT"):  # what clients' libraries begin with
@@ -295,8 +317,34 @@
                 self.ids.discard(place[3])
                 self.gone(place[1])
 
-    def stop(self) -> None:
-        self.stopping = True
-        for client in [*self.idle, *self.fresh]:
-            if not client.owed:
-                client.leave("stopping")
+    # Sending clients away: for the operators, at the end, and in an upgrade; callers differ in how it ends.
+
+    def drain(self, code: str, within: int, refuses: bool = True) -> None:
+        """Closes what is idle in slices, and all else after its answers."""
+        self.draining, self.refuses = code, refuses
+        self.until = self.now() + within
+        self.deadlines.drop(self.next)
+        self.slice()
+
+    def keep(self) -> None:
+        """The drain is over: nothing more is closed."""
+        self.draining, self.refuses = "", False
+        self.deadlines.drop(self.next)
+
+    def slice(self) -> None:
+        now = self.now()
+        left = max(1, -(-(self.until - now) // self.SLICE))
+        idle = [client for client in self.idle if client.between()]
+        going = idle[: -(-len(idle) // left)]
+        going += takewhile(lambda new: new.since < now - self.YOUNG, self.fresh)
+        if now >= self.until + self.HALF:
+            going = [*self.idle, *self.fresh]
+        if going:  # a turn later, so that what has come to them by now is read first
+            self.deadlines.at(now + 1, self.part, going, now >= self.until + self.HALF)
+        self.next = self.deadlines.at(now + self.SLICE, self.slice)
+
+    def part(self, going: list[Client], halves: bool) -> None:
+        """Guards a req that crosses the end: one that has come meanwhile is served first."""
+        for client in going:
+            if self.draining and not client.owed and not client.deaf and (halves or client.between()):
+                client.leave(self.draining)
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -16,6 +16,7 @@
     CLIENT_GONE, DONE, FAIL, GO, LEAVING, LEFT, NACK, READY, SATISFIED, Node, Req, WriteOut, figures,
 )
 from ..settings import Run, address
+from .admin import Admin
 from .discovery import Discovery
 from .front import Frame, Front
 from .nodes import Nodes, Sending
@@ -66,8 +67,9 @@
             self.settings.spaced,
         )  # fmt: skip
         self.peers = Peers(run.peers, self.told)
+        self.admin = Admin(self.deadlines, self.now, self.serves, self.drain, self.back)
         self.port = None
-        self.started = False
+        self.started = self.ending = False
 
     # Start and end.
 
@@ -77,6 +79,8 @@
                 self.discovery.known(self.run.known)
             except Exception as fault:  # guards the start: the watch will bring a list
                 logger.error("known: a list that can't be used: {}: {}", type(fault).__name__, fault)
+        if self.run.admin:  # first: it answers no until we serve
+            self.reactor.listenTCP(self.run.admin[1], self.admin, backlog=64, interface=self.run.admin[0])
         if self.run.peer_listen:
             self.reactor.listenUDP(self.run.peer_listen[1], self.peers, interface=self.run.peer_listen[0])
         self.port = self.reactor.listenTCP(
@@ -85,6 +89,7 @@
         self.port.numberAccepts = self.AT_ONCE
         self.discovery.watch()
         logger.info("start name={} nodes={}", self.run.name, len(self.choice.nodes))
+        self.started = True
         self.settle()
 
     def reload(self, run: Run) -> None:
@@ -97,15 +102,16 @@
 
     def terminate(self) -> None:
         """A planned end: serve a little longer, then finish what is held."""
-        port, self.port = self.port, None
-        if port is not None:  # else we are at it already
-            logger.info("stop asked reqs={}", len(self.reqs))
-            self.deadlines.at(self.now() + self.STAY, self.stop_taking, port)
-
-    def stop_taking(self, port) -> None:
-        port.stopListening()
-        self.discovery.stop()
-        self.front.stop()
+        if self.ending:
+            return
+        self.ending = True
+        logger.info("stop asked reqs={}", len(self.reqs))
+        self.front.drain("stopping", self.STAY)
+        self.deadlines.at(self.now() + self.STAY, self.stop_taking)
+
+    def stop_taking(self) -> None:
+        if self.port is not None:
+            self.port.stopListening()
         self.finish()
 
     def finish(self) -> None:
@@ -113,9 +119,31 @@
             self.deadlines.at(self.now() + 10_000, self.finish)
         else:
             logger.info("stop")
+            self.discovery.stop()
             self.nodes.stop()
             self.reactor.stop()
 
+    # The operators' calls.
+
+    def serves(self) -> tuple[int, str]:
+        if self.ending or self.front.draining:
+            return 503, "draining"
+        return (200, "ready") if self.started and self.ready() else (503, "no cache node is ready")
+
+    def drain(self) -> tuple[int, str]:
+        if not self.ending and not self.front.draining:
+            logger.info("drain clients={} reqs={}", len(self.front.clients), len(self.reqs))
+            self.front.drain("drained", self.front.SPREAD)
+        return 200, "draining"
+
+    def back(self) -> tuple[int, str]:
+        if self.ending:
+            return 409, "stopping: there is no way back"
+        if self.front.draining:
+            logger.info("drain over clients={}", len(self.front.clients))
+            self.front.keep()
+        return 200, "serving"
+
     def ready(self) -> bool:
         return any(node.state == READY for node in self.choice.nodes.values())
 
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -119,6 +119,7 @@
     settings: Sheet
     listen: str | None = None
     discovery: str | None = None
+    admin_addr: str | None = None
     name: str | None = None
     seed: str | int | None = None
     limits: MachineSheet | None = None
@@ -214,6 +215,7 @@
         self.name = config.name or "proxy"
         self.listen = address(config.listen, "listen")
         self.discovery = address(config.discovery, "discovery")
+        self.admin = address(config.admin_addr, "admin_addr") if config.admin_addr else None
         self.peer_listen = address(config.peer_listen, "peer_listen") if config.peer_listen else None
         self.peers = [address(text, f"peers[{i}]") for i, text in enumerate(config.peers or [])]
         try:
@@ -228,8 +230,7 @@
         self.idle = self.settings.idle or self.IDLE
         self.connect_timeout = self.settings.connect_timeout or self.CONNECT_TIMEOUT
 
-
-    FIXED = ("name", "listen", "limits", "peer_listen", "settings")  # read at the start alone
+    FIXED = ("name", "listen", "admin_addr", "limits", "peer_listen", "settings")  # read at the start alone
 
     def differs(self, other: Run) -> list[str]:
         """The keys, of those that only a start reads, that say something else there."""
@@ -251,7 +252,7 @@
     except (msgspec.DecodeError, UnicodeDecodeError) as fault:
         raise FaultError(f"`LB_CONFIG`: not JSON: {fault}") from None
     if isinstance(values, dict):
-        for key in ("name", "listen", "discovery"):
+        for key in ("name", "listen", "discovery", "admin_addr"):
             told, kept = environ.get(f"LB_{key.upper()}"), values.get(key)
             values[key] = kept or told if again and key == "discovery" else told or kept
     return Run(checked(values, Config))
