--- a/ivystack/net/peers.py
+++ b/ivystack/net/peers.py
@@ -23,6 +23,11 @@
     def at(self, addresses: list[tuple[str, int]]) -> None:
         self.addresses, self.senders = addresses, set(addresses)
 
+    def leave(self) -> None:
+        """Lets the address go: in an upgrade the other process takes it."""
+        if self.transport is not None:
+            self.transport.stopListening()
+
     def say(self, peer: int, words: bytes) -> None:
         if self.transport is None or not 0 <= peer < len(self.addresses):
             return
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -11,6 +11,7 @@
 
 import orjson
 from loguru import logger
+from twisted.internet.error import CannotListenError
 
 from ..model import (  # fmt: skip
     CLIENT_GONE, DONE, FAIL, GO, LEAVING, LEFT, NACK, READY, SATISFIED, Node, Req, WriteOut, figures,
@@ -19,6 +20,7 @@
 from .admin import Admin
 from .discovery import Discovery
 from .front import Frame, Front
+from .handover import adopt
 from .nodes import Nodes, Sending
 from .peers import Peers
 from .resp import SHORT
@@ -41,6 +43,7 @@
 class Proxy:
     LAST = 2_000  # after its end a req is answered whatever the decisions do; they come first
     AT_ONCE = 16  # clients accepted in one go: with no room so many make way only after it, of Front.SPARE
+    LET_GO = 100_000  # before the address for datagrams is tried again
     STAY = 500_000  # served on after SIGTERM: new connections go on coming for part of it
 
     def __init__(self, run: Run, reactor, now=None):
@@ -82,16 +85,31 @@
         if self.run.admin:  # first: it answers no until we serve
             self.reactor.listenTCP(self.run.admin[1], self.admin, backlog=64, interface=self.run.admin[0])
         if self.run.peer_listen:
-            self.reactor.listenUDP(self.run.peer_listen[1], self.peers, interface=self.run.peer_listen[0])
-        self.port = self.reactor.listenTCP(
-            self.run.listen[1], self.front, backlog=512, interface=self.run.listen[0]
-        )
+            self.talk(*self.run.peer_listen)
+        if self.run.fd is not None:
+            self.port = adopt(self.reactor, self.run.fd, self.front)
+        else:
+            self.port = self.reactor.listenTCP(
+                self.run.listen[1], self.front, backlog=512, interface=self.run.listen[0]
+            )
         self.port.numberAccepts = self.AT_ONCE
         self.discovery.watch()
         logger.info("start name={} nodes={}", self.run.name, len(self.choice.nodes))
         self.started = True
         self.settle()
 
+    def talk(self, host: str, port: int) -> None:
+        """Takes the address for datagrams.  In an upgrade the old process has it until it is told to end: no
+        word between proxies is needed, so we serve without and try again."""
+        if self.ending:
+            return
+        try:
+            self.reactor.listenUDP(port, self.peers, interface=host)
+        except CannotListenError:
+            if self.run.fd is None:
+                raise
+            self.deadlines.at(self.now() + self.LET_GO, self.talk, host, port)
+
     def reload(self, run: Run) -> None:
         """A new configuration: where discovery and the peers are changes at once, the rest with a start."""
         for key in self.run.differs(run):
@@ -105,9 +123,12 @@
         if self.ending:
             return
         self.ending = True
+        inherited = self.run.fd is not None  # another process accepts there, or will
         logger.info("stop asked reqs={}", len(self.reqs))
-        self.front.drain("stopping", self.STAY)
-        self.deadlines.at(self.now() + self.STAY, self.stop_taking)
+        self.front.drain("stopping", self.STAY, refuses=not inherited)
+        if inherited:
+            self.peers.leave()
+        self.deadlines.at(self.now() + (0 if inherited else self.STAY), self.stop_taking)
 
     def stop_taking(self) -> None:
         if self.port is not None:
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -210,8 +210,8 @@
     SOCKETS = 1024  # the usual limit of a process
     MEMORY_MB = 192
 
-    def __init__(self, config: Config):
-        self.config = config
+    def __init__(self, config: Config, fd: int | None = None):
+        self.config, self.fd = config, fd  # fd: an inherited socket that listens at `listen`
         self.name = config.name or "proxy"
         self.listen = address(config.listen, "listen")
         self.discovery = address(config.discovery, "discovery")
@@ -255,4 +255,7 @@
         for key in ("name", "listen", "discovery", "admin_addr"):
             told, kept = environ.get(f"LB_{key.upper()}"), values.get(key)
             values[key] = kept or told if again and key == "discovery" else told or kept
-    return Run(checked(values, Config))
+    fd = environ.get("LB_FD")
+    if fd and not (fd.isascii() and fd.isdigit() and len(fd) < 7):
+        raise FaultError(f"`LB_FD`: wanted the number of a descriptor, got {fd!r}")
+    return Run(checked(values, Config), int(fd) if fd else None)
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,164 @@
+"""Two real processes on one inherited socket."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+from standin import Client, Discovery, Node
+from test_main import call, free_port
+
+METHODS = [
+    {"name": name, "semantics": semantics, "latency_budget": 10**9, "give_up": 10**9, "criticality": 1.0}
+    for name, semantics in (("read", "pure"), ("pay", "side_effect"))
+]
+LIMITS = {"most_write_outs": 3, "may_duplicate": True, "streams_per_conn": 10}
+SETTINGS = {"methods": METHODS, "limits": LIMITS}
+
+
+class Platform:
+    """Holds the clients' listening socket and starts processes that inherit it."""
+
+    def __init__(self, folder, *nodes):
+        self.folder, self.running = folder, []
+        self.discovery = Discovery(*nodes)
+        self.door = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.address = self.door.getsockname()
+        (folder / "tmp").mkdir()
+
+    def start(self, **more):
+        admin = free_port()
+        config = {
+            "listen": f"127.0.0.1:{self.address[1]}", "discovery": self.discovery.address,
+            "known": self.discovery.known, "settings": SETTINGS, "name": "p",
+        } | more  # fmt: skip
+        path = self.folder / f"{admin}.json"
+        path.write_text(json.dumps(config))
+        environ = {
+            "LB_CONFIG": str(path), "LB_ADMIN_ADDR": f"127.0.0.1:{admin}",
+            "LB_FD": str(self.door.fileno()), "TMPDIR": str(self.folder / "tmp"),
+        }  # fmt: skip
+        process = subprocess.Popen(
+            [sys.executable, "-B", "-m", "ivystack"], env=os.environ | environ, stderr=subprocess.PIPE,
+            pass_fds=[self.door.fileno()],
+        )  # fmt: skip
+        self.running.append(process)
+        for _ in range(200):
+            try:
+                if call(admin, "GET", "/_ready") == 200:
+                    return process
+            except OSError:
+                pass
+            if process.poll() is not None:
+                return process
+            time.sleep(0.02)
+        raise TimeoutError
+
+
+@pytest.fixture
+def platform(tmp_path):
+    made = []
+
+    def start(*nodes):
+        made.append(Platform(tmp_path, *nodes))
+        return made[-1]
+
+    yield start
+    for one in made:
+        for process in one.running:
+            process.kill()
+            process.communicate()
+        one.door.close()
+
+
+def ended(process):
+    told = process.communicate(timeout=10)[1]
+    return process.returncode, told
+
+
+def test_reqs_without_a_pause_pass_through_two_upgrades(platform):
+    node = Node(0.002)
+    at = platform(node)
+    old = at.start()
+    clients = [Client(at.address, b"%c" % letter) for letter in b"abcdefgh"]
+    try:
+        for _ in range(2):
+            new = at.start()
+            time.sleep(0.1)  # both serve
+            old.send_signal(signal.SIGTERM)
+            code, told = ended(old)
+            assert code == 0 and b"ERROR" not in told
+            old = new
+            time.sleep(0.2)
+    finally:
+        for one in clients:
+            one.on = False
+        for one in clients:
+            one.join()
+    answers = {ident: answer for one in clients for ident, answer in one.answers.items()}
+    assert not [ident for one in clients for ident in one.lost] and len(answers) > 200
+    nacked = [ident for ident, answer in answers.items() if answer == b"-BUSY\r\n"]  # the window is small
+    assert all(ident in answers[ident] for ident in answers.keys() - nacked)
+    assert 10 * len(nacked) < len(answers)
+    assert not set(nacked) & set(node.ids) and len(node.ids) == len(set(node.ids)) and new.poll() is None
+
+
+def test_a_new_process_that_cannot_start_leaves_the_old_one_serving(platform):
+    at = platform(Node())
+    at.start()
+    assert ended(at.start(settings=5))[0] == 2
+    client = Client(at.address, b"x")
+    time.sleep(0.2)
+    client.on = False
+    client.join()
+    assert client.answers and not client.lost and not client.crossed
+
+
+def test_a_descriptor_that_does_not_listen_ends_it_with_code_1_and_one_line(tmp_path):
+    path = tmp_path / "config.json"
+    path.write_text('{"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": {}}')
+    with socket.socket() as none, open(path) as file:
+        for fd, code in ((none.fileno(), 1), (file.fileno(), 1), (900_000, 1), ("x", 2)):
+            process = subprocess.run(
+                [sys.executable, "-B", "-m", "ivystack"], stderr=subprocess.PIPE, timeout=10,
+                env=os.environ | {"LB_CONFIG": str(path), "LB_FD": str(fd)},
+                pass_fds=[none.fileno(), file.fileno()],
+            )  # fmt: skip
+            assert process.returncode == code and process.stderr.count(b"\n") == 1, process.stderr
+            assert b"LB_FD" in process.stderr
+
+
+def test_the_old_process_finishes_what_it_holds_and_the_new_one_takes_the_rest(platform):
+    node = Node(0.5)
+    at = platform(node)
+    old = at.start()
+    with socket.create_connection(at.address, timeout=10) as asking:
+        asking.sendall(b"*4\r\n$7\r\nOBJ.GET\r\n$2\r\n7f\r\n$2\r\nid\r\n$11\r\nc=pay,d=900\r\n")
+        while not node.ids:
+            time.sleep(0.01)
+        at.start()
+        old.send_signal(signal.SIGTERM)
+        assert asking.recv(100) == b"$2\r\nid\r\n" and asking.recv(100) == b""
+    assert ended(old)[0] == 0 and node.ids == [b"id"]
+
+
+def test_datagrams_go_to_the_new_process_once_the_old_one_lets_go(platform):
+    at = platform(Node())
+    talk = f"127.0.0.1:{free_port()}"
+    old = at.start(peer_listen=talk, peers=[talk])
+    new = at.start(peer_listen=talk, peers=[talk])  # serves though the address is taken
+    old.send_signal(signal.SIGTERM)
+    assert ended(old)[0] == 0
+    host, port = talk.split(":")
+    for _ in range(100):
+        with open(f"/proc/{new.pid}/net/udp") as table:
+            inodes = {line.split()[9] for line in table if f":{int(port):04X} " in line}
+        held = {os.readlink(f"/proc/{new.pid}/fd/{fd}") for fd in os.listdir(f"/proc/{new.pid}/fd")}
+        if any(f"socket:[{inode}]" in held for inode in inodes):
+            return
+        time.sleep(0.05)
+    raise AssertionError("the new process never took the address")
