--- a/ivystack/__main__.py
+++ b/ivystack/__main__.py
@@ -54,7 +54,7 @@
 def reload(proxy) -> None:
     """SIGHUP: the configuration is read again; one with a fault is told and the old one stays."""
     try:
-        run = load(os.environ, again=True)
+        run = load(os.environ, proxy.run)
     except FaultError as fault:
         logger.error("configuration not taken: {}", fault)
     else:
--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -219,8 +219,7 @@
     def __init__(self, deadlines, now, taken, gone, ready, methods, tenants, most: int, memory: int):
         self.deadlines, self.now = deadlines, now
         self.taken, self.gone, self.ready = taken, gone, ready
-        self.methods = {name.encode(): method for name, method in methods.items()}
-        self.tenants = {name.encode(): tenant for name, tenant in tenants.items()}
+        self.knows(methods, tenants)
         self.most, self.held = most, memory // self.HELD
         self.clients = Slots()
         self.fresh: OrderedDict[Client, None] = OrderedDict()  # have said nothing whole yet; oldest first
@@ -232,6 +231,11 @@
         self.next: list | None = None  # the next slice's deadline
         self.bytes = 0  # of values in hand
 
+    def knows(self, methods: dict, tenants: dict) -> None:
+        """The classes and tenants that commands may name from now on; reqs that are held keep theirs."""
+        self.methods = {name.encode(): method for name, method in methods.items()}
+        self.tenants = {name.encode(): tenant for name, tenant in tenants.items()}
+
     def buildProtocol(self, addr):  # noqa: N802
         return Client(self)
 
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -136,13 +136,16 @@
         self.reactor, self.deadlines, self.now = reactor, deadlines, now
         self.ended = ended  # told of each write-out's outcome, once, never from within `send`
         self.most = sockets // self.PART
-        self.idle, self.connect_timeout = int(idle * self.AHEAD), connect_timeout
-        self.deep = deep  # write-outs on a connection at once; one where giving up is closing
-        self.linger = self.LINGER if deep > 1 else 0
+        self.tune(idle, connect_timeout, deep)
         self.links = tables.Slots()
         self.places: dict[str, Place] = {}
         self.resting: OrderedDict[Link, None] = OrderedDict()  # idle ones, longest first
 
+    def tune(self, idle: int, connect_timeout: int, deep: int) -> None:
+        self.idle, self.connect_timeout = int(idle * self.AHEAD), connect_timeout
+        self.deep = deep  # write-outs on a connection at once; one where giving up is closing
+        self.linger = self.LINGER if deep > 1 else 0
+
     # Where nodes are.
 
     def known(self, name: str, address: tuple[str, int], restarted: bool) -> None:
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -58,7 +58,7 @@
         self.alarm: list | None = None
         self.nodes = Nodes(
             reactor, self.deadlines, self.now, self.ended, run.sockets, run.idle, run.connect_timeout,
-            self.settings.streams if self.settings.may_duplicate else 1,
+            self.deep(),
         )  # fmt: skip
         most = run.sockets - self.nodes.most - Front.SPARE
         self.front = Front(
@@ -111,12 +111,29 @@
             self.deadlines.at(self.now() + self.LET_GO, self.talk, host, port)
 
     def reload(self, run: Run) -> None:
-        """A new configuration: where discovery and the peers are changes at once, the rest with a start."""
+        """A new configuration: all of its settings, discovery and the peers count at once, the rest with a
+        start.  It has been checked whole: nothing here can be refused half-way."""
         for key in self.run.differs(run):
             logger.warning("configuration: a new `{}` counts from the next start on", key)
-        logger.info("configuration taken discovery={}:{}", *run.discovery)
+        former = self.settings.take(run.settings)
+        run.settings, self.run = self.settings, run
+        self.front.knows(self.settings.methods, self.settings.tenants)
+        self.nodes.tune(run.idle, run.connect_timeout, self.deep())
+        self.discovery.spaced = self.settings.spaced
+        logger.info(
+            "configuration taken discovery={}:{} classes={} changed={}", *run.discovery,
+            len(self.settings.methods), len(former),
+        )  # fmt: skip
+        if former:
+            last = max((held.req.give_up_at for held in self.held.values()), default=0)
+            over = max(last, self.now()) + 2 * self.LAST  # by then none of their reqs is left
+            self.deadlines.at(over, self.settings.forget, former)
         self.peers.at(run.peers)
         self.discovery.move(run.discovery)
+        self.settle()
+
+    def deep(self) -> int:
+        return self.settings.streams if self.settings.may_duplicate else 1
 
     def terminate(self) -> None:
         """A planned end: serve a little longer, then finish what is held."""
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -161,6 +161,7 @@
         sheet = config if isinstance(config, Sheet) else checked(config, Sheet)
         limits, rules = sheet.limits or LimitsSheet(), sheet.rules or RulesSheet()
         specifics = sheet.specifics or SpecificsSheet()
+        self.sheet = sheet
         self.kinds = {name: place for place, name in enumerate(sheet.kinds or [])}
         self.methods = {m.name: method(m) for m in sheet.methods or []}
         self.tenants = {t.name: Tenant(t.name, t.allowance_per_s or 0.0) for t in sheet.parties or []}
@@ -191,6 +192,90 @@
         )
 
 
+    # Retuning: what another sheet says is handed to the parts in use.  What they have seen stays theirs.
+
+    def take(self, new: Settings) -> list[Method]:
+        """From now on all is as the new settings say.  Tells which methods' objects are not in use any more;
+        reqs under way keep theirs."""
+        for name in ("sheet", "columns", "spaced", "may_duplicate", "streams", "idle", "connect_timeout"):
+            setattr(self, name, getattr(new, name))
+        ours, theirs = self.choice, new.choice
+        for name in ("most", "may_duplicate", "come_back", "tick", "many"):
+            setattr(ours, name, getattr(theirs, name))
+        self.take_kinds(new)
+        former = self.take_methods(new)
+        for name, tenant in new.tenants.items():  # one that stays keeps its last reqs
+            self.tenants.setdefault(name, tenant).allowance = tenant.allowance
+        self.tenants = {name: self.tenants[name] for name in new.tenants}
+        ours.shares.tenants = [*self.tenants.values()]
+        ours.shares.excess, ours.shares.parts = theirs.shares.excess, theirs.shares.parts
+        for name in ("share", "cold", "spill"):
+            setattr(ours.cold, name, getattr(theirs.cold, name))
+        if ours.links.keep != theirs.links.keep:
+            ours.links.keep = theirs.links.keep
+            ours.links.idle.clear()
+        self.take_peers(theirs)
+        self.take_sizes(theirs)
+        return former
+
+    def take_kinds(self, new: Settings) -> None:
+        """Nodes point to their kinds by number, so a kind that stays keeps its own."""
+        names = [*new.kinds]
+        for name in names:
+            self.kinds.setdefault(name, len(self.kinds))
+        origin = new.choice.origin_kind
+        self.choice.origin_kind = self.kinds[names[origin]] if 0 <= origin < len(names) else origin
+
+    def take_methods(self, new: Settings) -> list[Method]:
+        former, nodes = [], {*self.choice.nodes.values(), *self.choice.placement.slots}
+        for name, old in self.methods.items():
+            fresh = new.methods.get(name)
+            if fresh is not None and parts_of(fresh) == parts_of(old):
+                new.methods[name] = old
+                continue
+            former.append(old)
+            if fresh is not None:  # what was seen of it goes on
+                fresh.times = old.times
+                for node in nodes:
+                    if old in node.errors:
+                        node.errors[fresh] = node.errors[old]
+        self.methods = new.methods
+        return former
+
+    def take_peers(self, theirs: Choice) -> None:
+        ours = self.choice
+        for name in ("hearsay", "order"):
+            old, new = getattr(ours, name), getattr(theirs, name)
+            if old is None or new is None:
+                setattr(ours, name, new)
+            elif old.others != new.others:
+                old.others = new.others
+        if ours.order:
+            ours.order.me = theirs.order.me
+        if ours.hearsay:
+            ours.hearsay.knows([*ours.nodes.values()])
+
+    def take_sizes(self, theirs: Choice) -> None:
+        ours = self.choice
+        if (ours.placement.sized, ours.placement.parts) != (theirs.placement.sized, theirs.placement.parts):
+            for name in ("sized", "live", "parts"):
+                setattr(ours.placement, name, getattr(theirs.placement, name))
+            ours.placement.known.clear()
+        if ours.live is None or theirs.live is None:
+            ours.live = theirs.live
+
+    def forget(self, former: list[Method]) -> None:
+        """What nodes hold of methods that no req has any more."""
+        for node in {*self.choice.nodes.values(), *self.choice.placement.slots}:
+            for one in former:
+                node.errors.pop(one, None)
+
+
+def parts_of(one: Method) -> list:
+    """All that a method says, without what was seen of it."""
+    return [getattr(one, name) for name in one.__slots__ if name != "times"]
+
+
 def method(m: MethodSheet) -> Method:
     return Method(
         m.name,
@@ -210,8 +295,9 @@
     SOCKETS = 1024  # the usual limit of a process
     MEMORY_MB = 192
 
-    def __init__(self, config: Config, fd: int | None = None):
-        self.config, self.fd = config, fd  # fd: an inherited socket that listens at `listen`
+    def __init__(self, config: Config, fd: int | None = None, stated: set[str] = frozenset()):
+        self.config, self.stated = config, stated  # stated: the keys that the file itself has
+        self.fd = fd  # an inherited socket that listens at `listen`
         self.name = config.name or "proxy"
         self.listen = address(config.listen, "listen")
         self.discovery = address(config.discovery, "discovery")
@@ -230,17 +316,53 @@
         self.idle = self.settings.idle or self.IDLE
         self.connect_timeout = self.settings.connect_timeout or self.CONNECT_TIMEOUT
 
-    FIXED = ("name", "listen", "admin_addr", "limits", "peer_listen", "settings")  # read at the start alone
+    FIXED = ("name", "listen", "admin_addr", "limits", "peer_listen")  # read at the start alone
 
     def differs(self, other: Run) -> list[str]:
         """The keys, of those that only a start reads, that say something else there."""
         return [key for key in self.FIXED if getattr(self.config, key) != getattr(other.config, key)]
 
 
-def load(environ: Mapping[str, str], again: bool = False) -> Run:
+ONCE = ("known", "seed")  # at the start alone, so a file that is read again need not have them
+TIMES = ("latency_budget", "give_up")
+
+
+def lacking(old: Any, new: Any, path: str) -> None:
+    """A fault if a key that the running sheet states is missing in the new one."""
+    for name in old.__struct_fields__:
+        before, now, key = getattr(old, name), getattr(new, name), f"{path}.{name}".lstrip(".")
+        if before is None or key in ONCE:
+            continue
+        if now is None or (before and now == []):
+            raise FaultError(f"`{key}`: missing; the running configuration has it")
+        if isinstance(before, Struct):
+            lacking(before, now, key)
+
+
+def sound(old: Config, new: Config) -> None:
+    """Guards the running proxy against a file that is broken or not yet whole: nothing of it is taken."""
+    lacking(old, new, "")
+    before, names = old.settings.methods or [], set()
+    # Those that all classes state: a window is stated by deduplicated ones alone.
+    keys = MethodSheet.__struct_fields__ if before else ()
+    stated = [name for name in keys if all(getattr(one, name) is not None for one in before)]
+    for place, one in enumerate(new.settings.methods or []):
+        key = f"settings.methods[{place}]"
+        for name in stated:
+            if getattr(one, name) is None:
+                raise FaultError(f"`{key}.{name}`: missing; all classes of the running configuration have it")
+        for name in TIMES:
+            if getattr(one, name) == 0:
+                raise FaultError(f"`{key}.{name}`: wanted a positive number, got 0")
+        if one.name in names:
+            raise FaultError(f"`{key}.name`: {one.name!r} is named twice")
+        names.add(one.name)
+
+
+def load(environ: Mapping[str, str], running: Run | None = None) -> Run:
     """What the environment says: the file that LB_CONFIG names, the other variables going before it.
 
-    Read again, the file's `discovery` goes before LB_DISCOVERY: only it can have changed.
+    Read again by a running one, the file's `discovery` goes before LB_DISCOVERY: only it can have changed.
     """
     path = environ.get("LB_CONFIG")
     if not path:
@@ -251,11 +373,18 @@
         raise FaultError(f"`LB_CONFIG`: {fault.strerror}: {path}") from None
     except (msgspec.DecodeError, UnicodeDecodeError) as fault:
         raise FaultError(f"`LB_CONFIG`: not JSON: {fault}") from None
+    stated = set()
     if isinstance(values, dict):
+        stated = {key for key in values if values[key] is not None}
         for key in ("name", "listen", "discovery", "admin_addr"):
             told, kept = environ.get(f"LB_{key.upper()}"), values.get(key)
-            values[key] = kept or told if again and key == "discovery" else told or kept
+            values[key] = kept or told if running and key == "discovery" else told or kept
     fd = environ.get("LB_FD")
     if fd and not (fd.isascii() and fd.isdigit() and len(fd) < 7):
         raise FaultError(f"`LB_FD`: wanted the number of a descriptor, got {fd!r}")
-    return Run(checked(values, Config), int(fd) if fd else None)
+    config = checked(values, Config)
+    if running:
+        for key in sorted(running.stated & {*Config.__struct_fields__} - stated - {*ONCE}):
+            raise FaultError(f"`{key}`: missing; the running configuration has it")
+        sound(running.config, config)
+    return Run(config, int(fd) if fd else None, stated)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -65,9 +65,9 @@
     ]
 
 
-def proxy(count=1, reporting=None, **limits):
-    """A proxy on a reactor that only keeps what it is asked for, told of so many cache nodes."""
-    methods = [
+def told(reporting=None, methods=None, **limits):
+    """What a proxy is told, with two classes where no others are given."""
+    methods = methods or [
         {"name": name, "semantics": semantics, "latency_budget": 10**9, "give_up": 10**9, "criticality": 1.0}
         for name, semantics in (("read", "pure"), ("pay", "side_effect"))
     ]
@@ -75,9 +75,14 @@
     config = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "ff"}
     config["settings"] = {"methods": methods, "limits": limits, "parties": [{"name": "t"}]}
     config["settings"]["reporting"] = reporting
+    return Run(checked(config, Config))
+
+
+def proxy(count=1, reporting=None, **limits):
+    """A proxy on a reactor that only keeps what it is asked for, told of so many cache nodes."""
     reactor = MemoryReactorClock()
     reactor.advance(1000)
-    made = Proxy(Run(checked(config, Config)), reactor, lambda: round(reactor.seconds() * S))
+    made = Proxy(told(reporting, **limits), reactor, lambda: round(reactor.seconds() * S))
     made.listed(entries(count), True)
     return made
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from ivystack.model import Errors, Node
 from ivystack.settings import FaultError, Settings, load
 
 GOOD = {"listen": "127.0.0.1:6379", "discovery": "127.0.0.1:8500", "seed": "0f", "settings": {}, "new": 1}
@@ -45,6 +46,84 @@
     path = tmp_path / "config.json"
     path.write_text(json.dumps(GOOD | {"discovery": "127.0.0.3:1", "limits": {"sockets": 99}}))
     environ = {"LB_CONFIG": str(path), "LB_LISTEN": "127.0.0.2:7", "LB_DISCOVERY": "127.0.0.1:8500"}
-    run = load(environ, again=True)
+    run = load(environ, first)
     assert (run.discovery, load(environ).discovery) == (("127.0.0.3", 1), ("127.0.0.1", 8500))
     assert first.differs(run) == ["limits"]
+
+
+CLASS = {"name": "m", "semantics": "token", "latency_budget": 5_000, "give_up": 9_000, "criticality": 1.0}
+TUNED = {"methods": [CLASS, CLASS | {"name": "w", "window": 7_000}], "limits": {"most_write_outs": 3}}
+
+
+def read_again(tmp_path, text):
+    """The running configuration, and what a file with that text in its place is taken for."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(GOOD | {"settings": TUNED}))
+    environ = {"LB_CONFIG": str(path), "LB_DISCOVERY": "127.0.0.1:8500"}
+    running = load(environ)
+    path.write_text(text)
+    return load(environ, running)
+
+
+def changed(**more):
+    return json.dumps(GOOD | {"settings": TUNED} | more)
+
+
+def tuned(one=None, **more):
+    """With other settings, or another second class: a key with ... is left out."""
+    methods = [CLASS, {k: v for k, v in (TUNED["methods"][1] | (one or {})).items() if v is not ...}]
+    settings = TUNED | {"methods": methods} | more
+    return changed(settings={k: v for k, v in settings.items() if v is not ...})
+
+
+def test_a_broken_file_is_refused_with_the_key_at_fault(tmp_path):
+    # Guards the running proxy: absent and null get defaults at a start, and a file may not be whole yet.
+    whole = tuned()
+    without = json.dumps({k: v for k, v in json.loads(whole).items() if k != "discovery"})
+    for text, key in [
+        ("", "LB_CONFIG"), (whole[: len(whole) // 2], "LB_CONFIG"), ("[]", "object"), ("null", "object"),
+        (without, "discovery"), (changed(settings=None), "settings"), (changed(settings={}), "methods"),
+        (tuned(methods=[]), "methods"), (tuned(limits=...), "limits"),
+        (tuned(limits={}), "most_write_outs"), (tuned(limits={"most_write_outs": None}), "most_write_outs"),
+        *((tuned(limits={"most_write_outs": bad}), "most_write_outs") for bad in (0, -1, "3", True, 1.5)),
+        *((tuned({"give_up": bad}), "[1].give_up") for bad in (0, -1, None, "9", True, ..., 1.5)),
+        *((tuned({"latency_budget": bad}), "[1].latency_budget") for bad in (0, -1, None, "9", ...)),
+        (tuned().replace("9000", "NaN"), "LB_CONFIG"), (tuned({"semantics": ...}), "[1].semantics"),
+        (tuned({"semantics": "none"}), "[1].semantics"), (tuned({"name": "m"}), "twice"),
+        (tuned({"name": ...}), "name"), (tuned({"criticality": ...}), "[1].criticality"),
+    ]:  # fmt: skip
+        with pytest.raises(FaultError) as fault:
+            read_again(tmp_path, text)
+        assert key in str(fault.value) and "\n" not in str(fault.value), text
+
+
+def test_a_whole_file_is_taken_with_classes_gone_new_or_without_a_window(tmp_path):
+    assert [*read_again(tmp_path, tuned({"name": "new"})).settings.methods] == ["m", "new"]
+    assert [*read_again(tmp_path, tuned(methods=[CLASS])).settings.methods] == ["m"]
+    assert read_again(tmp_path, tuned({"window": ...})).settings.methods["w"].window == 0
+    assert read_again(tmp_path, tuned(limits={"most_write_outs": 1})).settings.choice.most == 1
+
+
+def test_what_was_seen_stays_and_what_a_class_says_is_new():
+    running = Settings(1, TUNED | {"parties": [{"name": "t", "allowance_per_s": 5}]})
+    old, tenant = running.methods["m"], running.tenants["t"]
+    kept = running.methods["w"]
+    node = Node("n", errors={old: Errors(failures=2)})
+    running.choice.listed([node], True, 0)
+    old.times.append(7)
+    tenant.recent = 3
+    sheet = TUNED | {"methods": [CLASS | {"semantics": "side_effect"}, TUNED["methods"][1]]}
+    more = Settings(1, sheet | {"parties": [{"name": "t", "allowance_per_s": 8}, {"name": "u"}]})
+    assert running.take(more) == [old]
+    new = running.methods["m"]
+    assert (old.semantics, new.semantics) == ("deduplicated", "non-retryable") and new.times is old.times
+    assert running.methods["w"] is kept and running.tenants["t"] is tenant and tenant.allowance == 8
+    assert node.errors[new] is node.errors[old] and node in running.choice.placement.slots
+    running.forget([old])
+    assert [*node.errors] == [new]
+
+
+def test_a_kind_that_stays_keeps_its_number():
+    running = Settings(1, {"kinds": ["a", "b"], "specifics": {"origin_kind": 1}})
+    running.take(Settings(1, {"kinds": ["b", "c"], "specifics": {"origin_kind": 0}}))
+    assert running.kinds == {"a": 0, "b": 1, "c": 2} and running.choice.origin_kind == 1
