A new process goes on from what the old one knows; the two keep the bounds of one

While both are there each has half of the descriptors and of the bytes in hand.

Tests: state of any kind and shape, hanging, killed and absent old processes, bounds, real processes.

--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -249,6 +249,7 @@
     # A drain: its slices, and the time over which idle ones are closed where the operators call for it: their
     # clients come back elsewhere spread over it, and it ends well before the 4 s at which none may be left.
     SLICE, SPREAD = 20_000, 1_000_000
+    EACH = 8  # closed in a slice where they are beyond a bound that has changed
     HALF = 900_000  # after those a command that has not come whole is given up: it may be for long no req yet
 
     def __init__(self, deadlines, now, taken, gone, ready, methods, tenants, most: int, memory: int):
@@ -256,6 +257,7 @@
         self.taken, self.gone, self.ready = taken, gone, ready
         self.knows(methods, tenants)
         self.most, self.held = most, memory // self.HELD
+        self.fitting: list | None = None
         self.clients = Slots()
         self.fresh: OrderedDict[Client, None] = OrderedDict()  # have said nothing whole yet; oldest first
         self.idle: OrderedDict[Client, None] = OrderedDict()  # of the others; longest idle first
@@ -266,6 +268,19 @@
         self.next: list | None = None  # the next slice's deadline
         self.bytes = 0  # of values in hand
 
+    def bound(self, most: int, memory: int) -> None:
+        """Other bounds from now on: idle connections beyond them are closed in slices."""
+        self.most, self.held = most, memory // self.HELD
+        self.deadlines.drop(self.fitting)
+        self.fit()
+
+    def fit(self) -> None:
+        beyond = sum(not client.deaf for client in self.clients.values()) - self.most
+        going = [client for client in self.idle if client.between()][: min(self.EACH, max(0, beyond))]
+        if going:
+            self.deadlines.at(self.now() + 1, self.part, going, False, "no-room")
+            self.fitting = self.deadlines.at(self.now() + self.SLICE, self.fit)
+
     def knows(self, methods: dict, tenants: dict) -> None:
         """The classes and tenants that commands may name from now on; reqs that are held keep theirs."""
         self.methods = {name.encode(): method for name, method in methods.items()}
@@ -385,8 +400,9 @@
             self.deadlines.at(now + 1, self.part, going, now >= self.until + self.HALF)
         self.next = self.deadlines.at(now + self.SLICE, self.slice)
 
-    def part(self, going: list[Client], halves: bool) -> None:
+    def part(self, going: list[Client], halves: bool, code: str = "") -> None:
         """Guards a req that crosses the end: one that has come meanwhile is served first."""
+        code = self.draining or code
         for client in going:
-            if self.draining and not client.owed and not client.deaf and (halves or client.between()):
-                client.leave(self.draining)
+            if code and not client.owed and not client.deaf and (halves or client.between()):
+                client.leave(code)
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -162,13 +162,19 @@
     def __init__(self, reactor, deadlines, now, ended, sockets, idle, connect_timeout, deep, memory):
         self.reactor, self.deadlines, self.now = reactor, deadlines, now
         self.ended = ended  # told of each write-out's outcome, once, never from within `send`
-        self.most = sockets // self.PART
-        self.pieces = memory  # bytes of long answers that may wait in all
         self.relaying: dict[Link, Relay] = {}
         self.tune(idle, connect_timeout, deep)
         self.links = tables.Slots()
         self.places: dict[str, Place] = {}
         self.resting: OrderedDict[Link, None] = OrderedDict()  # idle ones, longest first
+        self.bound(sockets, memory)
+
+    def bound(self, sockets: int, memory: int) -> None:
+        """How many descriptors are there for all, and how many bytes for long answers that wait."""
+        self.most, self.pieces = sockets // self.PART, memory
+        for link in [*self.resting][: max(0, len(self.links) - self.most)]:
+            self.no_longer_idle(link)
+            link.close("no-room")
 
     def tune(self, idle: int, connect_timeout: int, deep: int) -> None:
         self.idle, self.connect_timeout = int(idle * self.AHEAD), connect_timeout
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -20,7 +20,7 @@
 from .admin import Admin
 from .discovery import Discovery
 from .front import Frame, Front
-from .handover import adopt
+from .handover import Handover, State, adopt, take, told
 from .nodes import Nodes, Sending
 from .peers import Peers
 from .resp import SHORT
@@ -70,7 +70,11 @@
             self.settings.spaced,
         )  # fmt: skip
         self.peers = Peers(run.peers, self.told)
+        self.handover = Handover(
+            reactor, self.deadlines, self.now, run.folder, run.listen, self.state, self.two
+        )  # fmt: skip
         self.admin = Admin(self.deadlines, self.now, self.serves, self.drain, self.back)
+        self.limits = run.sockets, run.memory  # the start's
         self.port = None
         self.started = self.ending = False
 
@@ -84,10 +88,39 @@
                 logger.error("known: a list that can't be used: {}: {}", type(fault).__name__, fault)
         if self.run.admin:  # first: it answers no until we serve
             self.reactor.listenTCP(self.run.admin[1], self.admin, backlog=64, interface=self.run.admin[0])
+        if self.run.fd is not None:
+            self.handover.ask(self.begin)
+        else:
+            self.begin(None)
+
+    def begin(self, state: State | None) -> None:
+        """Serves, going on from what an old process has told."""
+        try:
+            self.go_on(state)
+            self.open()
+        except Exception as fault:
+            logger.error("could not start: {}", fault)
+            self.reactor.stop()
+
+    def go_on(self, state: State | None) -> None:
+        if state is None:
+            return
+        try:
+            if state.generation >= self.discovery.generation:
+                listing = dict(generation=state.generation, reset=True, instances=state.instances)
+                self.discovery.known(listing)
+            take(state, self.choice, self.settings.methods, self.now())
+        except Exception as fault:  # guards the start against whatever an old process may tell
+            logger.error("handover: could not go on from it: {}: {}", type(fault).__name__, fault)
+        else:
+            logger.info("handover taken generation={} slots={}", state.generation, len(state.slots))
+
+    def open(self) -> None:
         if self.run.peer_listen:
             self.talk(*self.run.peer_listen)
         if self.run.fd is not None:
             self.port = adopt(self.reactor, self.run.fd, self.front)
+            self.handover.listen()
         else:
             self.port = self.reactor.listenTCP(
                 self.run.listen[1], self.front, backlog=512, interface=self.run.listen[0]
@@ -98,6 +131,31 @@
         self.started = True
         self.settle()
 
+    # In an upgrade.
+
+    def state(self) -> State:
+        """What the next process is told."""
+        kinds = {place: name for name, place in self.settings.kinds.items()}
+        listed = {READY: "SERVING", LEAVING: "DRAINING"}
+        instances = [
+            {
+                "instanceId": node.name, "hostPort": "{}:{}".format(*self.nodes.places[node.name].address),
+                "zone": node.zone, "machineType": kinds.get(node.kind), "cell": node.cell,
+                "lifecycle": listed[node.state], "startedAtMs": node.started // 1000,
+                # Live ones are no sizes: the list tells them anew each second.
+                "weight": None if self.choice.live else node.weight,
+            }
+            for node in self.choice.nodes.values() if node.state in listed and node.name in self.nodes.places
+        ]  # fmt: skip
+        return told(self.choice, self.settings.methods, self.discovery.generation, instances)
+
+    def two(self, two: bool) -> None:
+        """Another process is there, or has gone: together they keep within the bounds of one."""
+        logger.info("handover two={}", two)
+        sockets, memory = (of // 2 if two else of for of in self.limits)
+        self.nodes.bound(sockets, memory // Front.HELD)
+        self.front.bound(max(Front.EACH, sockets - self.nodes.most - Front.SPARE), memory)
+
     def talk(self, host: str, port: int) -> None:
         """Takes the address for datagrams.  In an upgrade the old process has it until it is told to end: no
         word between proxies is needed, so we serve without and try again."""
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -295,9 +295,13 @@
     SOCKETS = 1024  # the usual limit of a process
     MEMORY_MB = 192
 
-    def __init__(self, config: Config, fd: int | None = None, stated: set[str] = frozenset()):
+    def __init__(self, config: Config, environ: Mapping[str, str] = {}, stated: set[str] = frozenset()):  # noqa: B006
         self.config, self.stated = config, stated  # stated: the keys that the file itself has
-        self.fd = fd  # an inherited socket that listens at `listen`
+        fd = environ.get("LB_FD")
+        if fd and not (fd.isascii() and fd.isdigit() and len(fd) < 7):
+            raise FaultError(f"`LB_FD`: wanted the number of a descriptor, got {fd!r}")
+        self.fd = int(fd) if fd else None  # an inherited socket that listens at `listen`
+        self.folder = environ.get("TMPDIR")  # common to both processes of an upgrade
         self.name = config.name or "proxy"
         self.listen = address(config.listen, "listen")
         self.discovery = address(config.discovery, "discovery")
@@ -379,12 +383,9 @@
         for key in ("name", "listen", "discovery", "admin_addr"):
             told, kept = environ.get(f"LB_{key.upper()}"), values.get(key)
             values[key] = kept or told if running and key == "discovery" else told or kept
-    fd = environ.get("LB_FD")
-    if fd and not (fd.isascii() and fd.isdigit() and len(fd) < 7):
-        raise FaultError(f"`LB_FD`: wanted the number of a descriptor, got {fd!r}")
     config = checked(values, Config)
     if running:
         for key in sorted(running.stated & {*Config.__struct_fields__} - stated - {*ONCE}):
             raise FaultError(f"`{key}`: missing; the running configuration has it")
         sound(running.config, config)
-    return Run(config, int(fd) if fd else None, stated)
+    return Run(config, environ, stated)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -78,11 +78,11 @@
     return Run(checked(config, Config))
 
 
-def proxy(count=1, reporting=None, **limits):
+def proxy(count=1, reporting=None, run=None, **limits):
     """A proxy on a reactor that only keeps what it is asked for, told of so many cache nodes."""
     reactor = MemoryReactorClock()
     reactor.advance(1000)
-    made = Proxy(told(reporting, **limits), reactor, lambda: round(reactor.seconds() * S))
+    made = Proxy(run or told(reporting, **limits), reactor, lambda: round(reactor.seconds() * S))
     made.listed(entries(count), True)
     return made
 
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,163 @@
+"""What a new process learns from an old one in an upgrade, and what the two allow themselves together."""
+
+import msgspec
+import pytest
+from helpers import S, client, entries, get, hit, link, proxy, told
+from test_operators import answered, left
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from ivystack.model import LEAVING, LEFT, READY, Errors
+from ivystack.net.handover import State, Telling
+
+
+def asked(made):
+    """What an old process answers one that asks."""
+    end = Telling(made.handover).buildProtocol(None)
+    end.makeConnection(StringTransport())
+    return end
+
+
+def starting(tmp_path, leftover=True):
+    """A new process that has found a socket to ask at; what it begins with is kept."""
+    run = told()
+    run.fd, run.folder = 3, str(tmp_path)
+    made = proxy(0, run=run)
+    made.discovery.watch = lambda: None
+    made.begun = []
+    made.open = lambda: made.begun.append(made.now())
+    if leftover:
+        (tmp_path / f"{made.handover.tag}-1.sock").write_text("")
+    made.start()
+    return made
+
+
+def end_of(made):
+    """The new process's end of the connection that it asked for."""
+    end = made.reactor.unixClients[-1][1].buildProtocol(None)
+    end.makeConnection(StringTransport())
+    return end
+
+
+def test_a_new_process_goes_on_where_the_old_one_is(tmp_path):
+    old = proxy(5)
+    now = old.now()
+    nodes = old.choice.nodes
+    old.listed(entries(1, "DRAINING"), False)  # its slot goes to the last node: no order of start times
+    old.listed([entries(3, "DELETED")[2]], False)  # crashed: its slot is kept
+    nodes["n1"].failures, nodes["n1"].trial_at, nodes["n1"].trials = 3, now + S, 2
+    nodes["n3"].window, nodes["n3"].share, nodes["n3"].started = 2.5, 0.4, now - 7
+    read = old.settings.methods["read"]
+    read.times.extend([5, 6, 7])
+    nodes["n3"].errors[read] = Errors(failures=2, trial_at=now + S)
+    old.choice.room.common = 0.5
+    old.discovery.generation = 41
+    new = starting(tmp_path)
+    assert new.begun == []
+    end_of(new).dataReceived(asked(old).transport.value())
+    got = new.choice.nodes
+    assert [n.name for n in new.choice.placement.slots] == [n.name for n in old.choice.placement.slots]
+    assert [n.name for n in new.choice.placement.slots] == ["n4", "n1", "n2", "n3"]
+    assert [got[name].state for name in ("n0", "n1", "n2")] == [LEAVING, READY, LEFT]
+    assert (got["n1"].failures, got["n1"].trials, got["n1"].trial_at) == (3, 2, now + S)
+    assert (got["n3"].window, got["n3"].share, got["n3"].started) == (2.5, 0.4, now - 7)
+    mine = new.settings.methods["read"]
+    assert [*mine.times] == [5, 6, 7] and got["n3"].errors[mine].failures == 2
+    assert new.choice.room.common == 0.5 and new.discovery.generation == 41 and len(new.begun) == 1
+    assert new.nodes.places["n1"].address == old.nodes.places["n1"].address
+
+
+def test_a_list_newer_than_the_old_processs_stays(tmp_path):
+    old = proxy(1)
+    new = starting(tmp_path)
+    new.discovery.known({"generation": 9, "reset": True, "instances": entries(2)})
+    end_of(new).dataReceived(asked(old).transport.value())
+    assert {*new.choice.nodes} == {"n0", "n1"} and new.discovery.generation == 9 and new.begun
+
+
+GOOD = msgspec.json.decode(msgspec.json.encode(State(1, 5, entries(1), ["n0"], {}, {}, 1.0)))
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"\r\n", b"{\r\n", b"5\r\n", msgspec.json.encode(GOOD | {"v": 2}) + b"\r\n",
+        msgspec.json.encode(GOOD | {"slots": 5}) + b"\r\n",
+        msgspec.json.encode(GOOD | {"nodes": None}) + b"\r\n",
+        msgspec.json.encode(GOOD | {"instances": [5, {"instanceId": 7}]}) + b"\r\n",
+        msgspec.json.encode(GOOD | {"slots": ["x", "x", "n0"]}) + b"\r\n", b"x" * (1 << 21),
+        msgspec.json.encode(GOOD)[:-9],  # cut off: then its end
+    ],
+)  # fmt: skip
+def test_whatever_an_old_process_says_the_new_one_starts_once_and_in_time(tmp_path, text):
+    new = starting(tmp_path)
+    end = end_of(new)
+    end.dataReceived(text)
+    end.connectionLost(Failure(ConnectionDone()))
+    new.reactor.advance(1)
+    assert len(new.begun) == 1
+    assert all(node.name == "n0" for node in new.choice.placement.slots)
+
+
+def test_an_old_process_that_hangs_is_waited_for_half_a_second(tmp_path):
+    new = starting(tmp_path)
+    end_of(new)
+    new.reactor.advance(0.49)
+    assert not new.begun
+    new.reactor.advance(0.02)
+    assert len(new.begun) == 1 and new.nodes.most == new.limits[0] // 6  # it is there all the same
+
+
+def test_a_killed_processs_socket_is_taken_away_and_without_one_there_is_no_wait(tmp_path):
+    new = starting(tmp_path)
+    factory = new.reactor.unixClients[-1][1]
+    factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+    assert len(new.begun) == 1 and not [*tmp_path.glob("*.sock")]
+    assert len(starting(tmp_path, leftover=False).begun) == 1
+
+
+def test_without_an_inherited_socket_nobody_is_asked_or_listened_for():
+    # On the large fleet's days there are no Unix sockets.
+    made = proxy()
+    made.discovery.watch = lambda: None
+    made.start()
+    assert not made.reactor.unixClients and not made.reactor.unixServers and made.port is not None
+
+
+def test_two_processes_together_keep_within_the_bounds_of_one():
+    made = proxy()
+    whole = made.nodes.most, made.front.most, made.front.held, made.nodes.pieces
+    made.front.most = 100
+    asking = answered(made, 100)
+    for number, one in enumerate(asking[:4]):
+        one.dataReceived(get(b"%d" % number))
+    links = [link(made, number) for number in range(4)]
+    for one in links:
+        one.dataReceived(hit())
+    made.limits = 64, made.limits[1]
+    end = asked(made)
+    assert (made.nodes.most, made.front.most, made.front.held) == (10, 8, whole[2] // 2)
+    counts = []
+    for _ in range(30):
+        made.reactor.advance(0.02)
+        counts.append(len(left(asking)))
+        for one in asking:
+            if one.transport.disconnecting and one.slot in made.front.clients:
+                one.connectionLost(Failure(ConnectionDone()))
+    assert counts[-1] == 8 and max(a - b for a, b in zip(counts, counts[1:], strict=False)) <= 8
+    made.limits = made.run.sockets, made.run.memory
+    end.connectionLost(Failure(ConnectionDone()))
+    assert (made.nodes.most, made.front.most, made.front.held, made.nodes.pieces) == whole
+
+
+def test_idle_connections_to_nodes_beyond_the_half_are_closed():
+    made = proxy()
+    asking = [client(made) for _ in range(4)]
+    for number, one in enumerate(asking):
+        one.dataReceived(get(b"%d" % number))
+    links = [link(made, number) for number in range(4)]
+    for one in links:
+        one.dataReceived(hit())
+    made.nodes.bound(6, 1 << 20)
+    assert [one.code for one in links].count("no-room") == 2
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -162,3 +162,24 @@
             return
         time.sleep(0.05)
     raise AssertionError("the new process never took the address")
+
+
+def test_the_new_process_learns_the_slot_order_and_bounds_go_back_when_the_old_one_is_killed(platform):
+    at = platform(Node(), Node(), Node())
+    old = at.start()
+    new = at.start()
+    client = Client(at.address, b"x")
+    time.sleep(0.2)
+    old.kill()  # outright, half-way
+    time.sleep(0.3)
+    client.on = False
+    client.join()
+    assert not [ident for ident in client.lost if client.answers.get(ident)] and len(client.lost) <= 1
+    assert len(client.answers) > 10
+    new.send_signal(signal.SIGTERM)
+    code, told = ended(new)
+    assert code == 0 and b"handover taken generation=1 slots=3" in told
+    assert told.index(b"two=True") < told.index(b"two=False")
+    third = at.start()  # beside the killed one's leftover
+    third.send_signal(signal.SIGTERM)
+    assert ended(third)[0] == 0 and not [*(at.folder / "tmp").glob("*.sock")]
