--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -123,8 +123,7 @@
         for node in ready if awaited else ():
             if (slot := awaited.get(mark(node).hex())) is not None:
                 self.slots[slot] = node
-        held = set(self.slots)
-        self.slots += sorted(ready - held, key=lambda node: (node.started, node.name))
+        self.slots += sorted(ready - {*self.slots}, key=lambda node: (node.started, node.name))
         if self.slots != before:
             self.known.clear()
 
@@ -180,8 +179,8 @@
 
     def replicas(self, key: int | None, k: int, slots: int) -> int:
         """How many a key is given, at least k; the req itself does not count, so a key seen once gets k."""
-        loads = (self.last.count(key) - 1) / max(1, len(self.last)) * slots
-        return max(k, min(slots, ceil(loads / self.EACH)))
+        loads = (self.last.count(key) - 1) / max(1, len(self.last)) * slots / self.EACH
+        return max(k, min(slots, ceil(loads)))
 
 
 # --- Health: failures in a row, own evidence only ---
@@ -304,10 +303,10 @@
     REST = 0.125  # of a latency budget, between write-outs, over the window, when that is below one
     # Of a small window, an answer, times those in a row: half of them timing out hold it down, as in a jam,
     # not the one in eight that cold keys may bring at any load.
-    GROWTH, QUICK = 0.1, 4  # times faster, where no share has fallen: 1, 4, 8 and 16 were tried
+    GROWTH, QUICK = 0.1, 4  # QUICK: times faster, where no share has fallen; 1, 8 and 16 were tried
     DROP = 2.0  # at most, off the origin's: it has what all caches miss, so chance alone often times one out
     NUDGE = 0.25  # off a cache's that answered what was sent later: a lost connection, or long work, no jam
-    FALL = 0.5  # of the window is left after a write-out that ran out of time: between a halving and a nudge
+    FALL = 0.25  # of the window is left after a jam, shown by write-outs that ran out of time; half was tried
     # Of the share of a node met seldom, by own and peers' time-outs: with 0.5 forty proxies, which had seen
     # one each, went on feeding the jam.  A proxy that meets a node often has its windows to go by.
     FALL_SHARE = 0.35
@@ -352,8 +351,11 @@
     def strained(self, left: float = FALL_ALL) -> None:
         self.common = max(self.CLOSED, self.common * left)
 
-    def ran_out(self, node: Node, origin: bool, up: bool, often: bool = False) -> None:
+    def ran_out(self, node: Node, origin: bool, up: bool, often: bool, sent: int, now: int) -> None:
         node.in_time = 0
+        if sent < node.cut:  # it was out already when the window fell: one jam is held against a node once
+            return
+        node.cut = now
         self.told(node, False, self.FALL_ALL if often else self.FALL_SHARE)
         if up:  # further failures in a row are the node's own
             self.strained()
@@ -518,8 +520,7 @@
         self.parts: dict[bytes, dict[int, bytes]] = {}
 
     def due(self, now: int) -> list[Req]:
-        said = [*self.replies]
-        self.replies.clear()
+        said, self.replies = [*self.replies], deque(maxlen=256)
         if self.grown_at is None:
             self.grown_at = now + self.YOUNG
         if self.next_at is not None and now >= self.next_at:
@@ -645,8 +646,7 @@
             return WAIT, None, 0
         if node is None:
             return self.hold(req, now, end) if not req.write_outs or self.may_nack(req) else self.never(req)
-        if again:
-            self.spare -= 1
+        self.spare -= again
         until = self.until(req, node, now, end)
         sick = self.sick(node, req.method)
         write_out = WriteOut(req, node, now, until, trial=sick is not None)
@@ -665,7 +665,7 @@
         req = write_out.req
         if outcome == CLIENT_GONE:
             return (DONE, None, 0), [w for w in req.write_outs if w.outcome is None]
-        node, method = write_out.node, req.method
+        node, method, origin = write_out.node, req.method, write_out.node.kind == self.origin_kind
         write_out.outcome = outcome
         if self.live and load:
             self.live.reported(node, load, now)
@@ -685,7 +685,7 @@
             slow, before = spent > part * method.latency_budget, node.slow
             node.slow = slow
             if spent > method.latency_budget and node.load > Live.REST and now < node.load_at + Live.AGE:
-                self.room.ran_out(node, node.kind == self.origin_kind, True, often)
+                self.room.ran_out(node, origin, True, often, write_out.sent, now)
             else:  # else it is long work
                 self.room.answered(node, slow and (aside or before and (self.many or not often)))
             if outcome == SATISFIED:
@@ -707,10 +707,10 @@
             if outcome == OVERDUE:
                 method.times.append(spent)
             # An origin that refuses is full of all proxies' reqs, and there is no other: guards what is left.
-            if outcome == OVERDUE or node.kind == self.origin_kind:
-                self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node), often)
+            if outcome == OVERDUE or origin:
+                self.room.ran_out(node, origin, self.health.up(node), often, write_out.sent, now)
         elif outcome == FULL and not self.live:
-            self.room.ran_out(node, node.kind == self.origin_kind, self.health.up(node), often)
+            self.room.ran_out(node, origin, self.health.up(node), often, write_out.sent, now)
         elif outcome == FULL:  # where loads are told it tells of that moment alone, and nothing of others
             cold = self.cold.warmth(node, now) < 1  # what it turns away counts towards its fall
             self.room.told(node, False, self.room.FALL_SHARE if cold else self.room.FALL_ALL)
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -71,6 +71,7 @@
     heard: int = -1_000_000_000  # when a write-out there last ended
     in_time: int = 0  # answers in a row
     slow: bool = False  # the last answer was, for its latency budget
+    cut: int = 0  # when the window fell last
     window: float = 0.0  # own write-outs it bears at once
     load: float = 0.0  # reqs that it held a core, as told last
     load_at: int = -1_000_000_000
