--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -82,6 +82,7 @@
         self.slot = -1
         self.asked = 0
         self.since = 0  # when it came, or was answered last
+        self.heard = 0  # when bytes came last
         self.half: list | None = None  # the deadline for a whole command
         self.stuck: list | None = None  # the deadline for reading what we have written
         self.blocked = False  # the transport holds more than it could pass on
@@ -91,7 +92,7 @@
         self.transport.setTcpNoDelay(True)
         self.slot = self.front.clients.put(self)
         self.transport.registerProducer(self, True)
-        self.since = self.front.now()
+        self.since = self.heard = self.front.now()
         self.half = self.front.deadlines.at(self.since + self.WHOLE, self.half_said)
         self.front.fresh[self] = None
         self.front.make_room(self)
@@ -105,8 +106,12 @@
         if self.deaf or self.paused or self.between():
             self.front.deadlines.drop(self.half)
             self.half = None
-        elif self.half is None:
-            self.half = self.front.deadlines.at(self.front.now() + self.WHOLE, self.half_said)
+            return
+        self.heard = self.front.now()
+        if self in self.front.fresh:
+            self.front.fresh.move_to_end(self)
+        if self.half is None:
+            self.half = self.front.deadlines.at(self.heard + self.WHOLE, self.half_said)
 
     def half_said(self) -> None:
         """Guards the descriptors against clients that say nothing, or half a command and no more."""
@@ -241,16 +246,16 @@
     noisy = False
     HELD = 8  # one byte in so many of the memory may be of values in hand
     KEEP = 7  # one in so many of the connections may be idle for long
-    # Idle ones beyond that are closed after the first, beyond twice as many after the second: where hundreds
-    # a second ask once and stay, the part of the descriptors that clients may hold is soon gone.
-    IDLE, SOON = 2_000_000, 100_000
+    # Idle ones beyond that are closed after the first; beyond twice as many, or where busy ones hold most of
+    # the part that clients may have, after the second: hundreds a second ask once and stay.
+    IDLE, SOON = 2_000_000, 50_000
     YOUNG = 100_000  # a usual client's first req is here by then
     SPARE = 32  # descriptors for all else: the list, peers, operators, the log, Python's own
     # A drain: its slices, and the time over which idle ones are closed where the operators call for it: their
     # clients come back elsewhere spread over it, and it ends well before the 4 s at which none may be left.
-    SLICE, SPREAD = 20_000, 1_000_000
+    # Half a second before the 2 s after which none may ask any more a half-said command has no time left.
+    SLICE, SPREAD, HALVES = 20_000, 1_000_000, 900_000
     EACH = 8  # closed in a slice where they are beyond a bound that has changed
-    HALF = 900_000  # after those a command that has not come whole is given up: it may be for long no req yet
 
     def __init__(self, deadlines, now, taken, gone, ready, methods, tenants, most: int, memory: int):
         self.deadlines, self.now = deadlines, now
@@ -259,12 +264,13 @@
         self.most, self.held = most, memory // self.HELD
         self.fitting: list | None = None
         self.clients = Slots()
-        self.fresh: OrderedDict[Client, None] = OrderedDict()  # have said nothing whole yet; oldest first
+        self.fresh: OrderedDict[Client, None] = OrderedDict()  # nothing whole said yet; longest silent first
         self.idle: OrderedDict[Client, None] = OrderedDict()  # of the others; longest idle first
         self.ids: set[bytes] = set()  # of the reqs in hand
         self.draining = ""  # the code with which connections are closed; empty: they are kept
         self.refuses = False  # PING is answered no
         self.until = 0  # by when idle ones are to be closed
+        self.halves = 0  # when commands that are not whole are given up
         self.next: list | None = None  # the next slice's deadline
         self.bytes = 0  # of values in hand
 
@@ -292,19 +298,24 @@
     def tidy(self, now: int) -> None:
         """Guards usual clients, who may hold but a part of the descriptors, against connections that ask once
         and stay for good."""
-        kept = self.most // self.KEEP
+        busy = len(self.clients) - len(self.fresh) - len(self.idle)
+        third = (self.most + self.SPARE) // 2  # of the descriptors: clients may hold no more for reqs
+        most = self.most // self.KEEP
+        kept = min(most, max(2, third // 2 - busy))
         while len(self.idle) > kept:
             oldest = next(iter(self.idle))
-            if now - oldest.since < (self.IDLE if len(self.idle) <= 2 * kept else self.SOON):
+            at_ease = kept == most and len(self.idle) <= 2 * kept
+            if now - oldest.since < (self.IDLE if at_ease else self.SOON):
                 return
             oldest.leave("idle")
 
     def make_room(self, new: Client) -> None:
-        """Guards the descriptors: first go those that asked nothing of use, then the one idle longest."""
+        """Guards the descriptors: first goes, of those that asked nothing of use, the one silent for longest,
+        then the one idle longest.  One that sends slowly is no silent one."""
         if len(self.clients) <= self.most:
             return
         oldest = next(iter(self.fresh))
-        if oldest.since > self.now() - self.YOUNG and self.idle:
+        if oldest.heard > self.now() - self.YOUNG and self.idle:
             oldest = next(iter(self.idle))
         oldest.leave("no-room")
 
@@ -376,10 +387,12 @@
 
     # Sending clients away: for the operators, at the end, and in an upgrade; callers differ in how it ends.
 
-    def drain(self, code: str, within: int, refuses: bool = True) -> None:
-        """Closes what is idle in slices, and all else after its answers."""
+    def drain(self, code: str, within: int, halves: int, refuses: bool = True) -> None:
+        """Closes what is idle in slices, and all else after its answers; so long after that, commands that
+        have not come whole: a req taken late would still be held at the end."""
         self.draining, self.refuses = code, refuses
         self.until = self.now() + within
+        self.halves = self.until + halves
         self.deadlines.drop(self.next)
         self.slice()
 
@@ -393,11 +406,12 @@
         left = max(1, -(-(self.until - now) // self.SLICE))
         idle = [client for client in self.idle if client.between()]
         going = idle[: -(-len(idle) // left)]
-        going += takewhile(lambda new: new.since < now - self.YOUNG, self.fresh)
-        if now >= self.until + self.HALF:
+        going += takewhile(lambda new: new.heard < now - self.YOUNG, self.fresh)
+        halves = now >= self.halves
+        if halves:
             going = [*self.idle, *self.fresh]
         if going:  # a turn later, so that what has come to them by now is read first
-            self.deadlines.at(now + 1, self.part, going, now >= self.until + self.HALF)
+            self.deadlines.at(now + 1, self.part, going, halves)
         self.next = self.deadlines.at(now + self.SLICE, self.slice)
 
     def part(self, going: list[Client], halves: bool, code: str = "") -> None:
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -45,6 +45,9 @@
     AT_ONCE = 16  # clients accepted in one go: with no room so many make way only after it, of Front.SPARE
     LET_GO = 100_000  # before the address for datagrams is tried again
     STAY = 500_000  # served on after SIGTERM: new connections go on coming for part of it
+    # Then for commands that are still coming.  From 0.7 s on nothing is taken: SIGKILL comes that long after
+    # the longest deadline, and what it finds is lost.
+    HALVES = 200_000
 
     def __init__(self, run: Run, reactor, now=None):
         self.run, self.reactor, self.now = run, reactor, now or Clock()
@@ -200,7 +203,7 @@
         self.ending = True
         inherited = self.run.fd is not None  # another process accepts there, or will
         logger.info("stop asked reqs={}", len(self.reqs))
-        self.front.drain("stopping", self.STAY, refuses=not inherited)
+        self.front.drain("stopping", self.STAY, self.HALVES, refuses=not inherited)
         if inherited:
             self.peers.leave()
         self.deadlines.at(self.now() + (0 if inherited else self.STAY), self.stop_taking)
@@ -229,7 +232,7 @@
     def drain(self) -> tuple[int, str]:
         if not self.ending and not self.front.draining:
             logger.info("drain clients={} reqs={}", len(self.front.clients), len(self.reqs))
-            self.front.drain("drained", self.front.SPREAD)
+            self.front.drain("drained", Front.SPREAD, Front.HALVES)
         return 200, "draining"
 
     def back(self) -> tuple[int, str]:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -196,6 +196,42 @@
     assert usual.asked == 1 and not usual.transport.disconnecting
 
 
+def test_one_that_sends_slowly_makes_way_after_silent_ones():
+    # Guards usual clients that need seconds for a command: they came before the silent ones.
+    made = proxy()
+    made.front.most = 3
+    slow = client(made)
+    made.reactor.advance(1)
+    silent, half = client(made), client(made)
+    half.dataReceived(b"*")
+    made.reactor.advance(made.front.YOUNG / S)
+    for at in range(0, 50, 10):
+        slow.dataReceived(get()[at : at + 10])
+    client(made), client(made)
+    assert silent.transport.disconnecting and half.transport.disconnecting
+    slow.dataReceived(get()[50:])
+    link(made).dataReceived(hit())
+    assert slow.transport.took() == b"$1\r\nv\r\n"
+
+
+def test_idle_clients_go_at_once_where_busy_ones_hold_most_of_their_part():
+    made = proxy(4, streams_per_conn=1, may_duplicate=True)
+    made.front.most = 96
+    idle = [client(made) for _ in range(12)]
+    for one in idle:
+        one.dataReceived(command(b"PING"))
+    made.reactor.advance(made.front.SOON / S)
+    assert not any(one.transport.disconnecting for one in idle)
+    for _ in range(40):
+        one = client(made)
+        one.dataReceived(b"*4")
+        one.owed.append([None, None, 0, None])
+        made.front.fresh.pop(one, None)
+    last = client(made)
+    last.dataReceived(command(b"PING"))
+    assert sum(one.code == "idle" for one in idle) >= 10
+
+
 def test_silent_and_half_said_clients_are_closed_and_usual_ones_stay():
     # Guards the descriptors: such clients would hold them for good.
     made = proxy()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -180,3 +180,15 @@
         made.reactor.advance(0.02)
         counts.append(len(left(asking)))
     assert counts[-1] == 0 and counts[5] > 25 and {one.code for one in asking} == {"stopping"}
+
+
+def test_nothing_is_taken_any_more_when_sigkill_could_find_it():
+    # SIGKILL comes 0.7 s after the longest deadline: what is taken later than that may still be held then.
+    made = serving()
+    slow = client(made)
+    slow.dataReceived(get()[:-4])
+    made.terminate()
+    made.reactor.pump([0.02] * 34)
+    assert not slow.transport.disconnecting
+    made.reactor.pump([0.02] * 3)
+    assert slow.transport.disconnecting and slow.asked == 0
