Long writes are passed on in pieces; their time counts from the last byte

Need: values of up to 4 MiB both ways; Client.most ended a client's of over 64 KiB as malformed. relay.Upload; the decisions are asked at the head with an arrival a minute ahead, which Proxy.through sets to the last byte's moment. Before that byte nothing can have run: broken, stalled and lying peers end the write-out as refused or superseded. Req.once keeps one whose bytes have gone from going out again (choice.py: one word in may_send_again). Also: what a client had sent behind a lost connection could still be parsed on a late resume (Client.connectionLost now stops the reading).

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -789,7 +789,7 @@
         return req.method.semantics == RETRYABLE or deduplicated or not self.may_have_run(req)
 
     def may_send_again(self, req: Req, now: int) -> bool:
-        if len(req.write_outs) >= self.most:
+        if req.once or len(req.write_outs) >= self.most:
             return False
         ran = self.may_have_run(req)
         if not ran or req.method.semantics == RETRYABLE:
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -112,6 +112,7 @@
     calm: float = 0.0  # the share of reqs that a node must take to be given this one
     luck: float = 0.0  # drawn once: a node as warm as this may take it
     write_outs: list = field(default_factory=list)
+    once: bool = False  # some of its bytes have gone out and are nowhere else: it can't go out again
     saying: tuple[int, bytes] | None = None  # standing req: a message to the peer of that number
     closing: Node | None = None  # standing req: close the idle connections to this node
 
--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -14,8 +14,8 @@
 from twisted.internet.protocol import ServerFactory
 
 from ..model import NACK, SATISFIED
-from .relay import Relay
-from .resp import PARTS, VALUE, Resp, bulk
+from .relay import Relay, Upload
+from .resp import LONGEST, PARTS, VALUE, Given, Resp, bulk
 from .tables import Slots
 
 PONG, OK, BUSY, FAILED = b"+PONG\r\n", b"+OK\r\n", b"-BUSY\r\n", b"-ERR failed\r\n"
@@ -29,10 +29,11 @@
 
     __slots__ = ("before", "fields", "after", "value")
 
-    def __init__(self, args: list[bytes], figure: tuple[int, int]):
-        self.before = b"*%d\r\n" % len(args) + b"".join(map(bulk, args[:3]))
+    def __init__(self, args: list[bytes], figure: tuple[int, int], size: int = 0):
+        """`size` is that of a value which goes out in pieces behind this."""
+        self.before = b"*%d\r\n" % (len(args) + bool(size)) + b"".join(map(bulk, args[:3]))
         self.fields, self.after = args[3][: figure[0]], args[3][figure[1] :]
-        self.value = bulk(args[4]) if len(args) > 4 else b""
+        self.value = b"$%d\r\n" % size if size else bulk(args[4]) if len(args) > 4 else b""
 
     def telling(self, wait_ms: int) -> list[bytes]:
         """The command for a node, telling how long we wait."""
@@ -66,6 +67,7 @@
 
 
 class Client(Resp):
+    most = LONGEST
     value_at = 4
     arrays_from = PARTS  # none
     only_arrays = True
@@ -87,6 +89,7 @@
         self.stuck: list | None = None  # the deadline for reading what we have written
         self.blocked = False  # the transport holds more than it could pass on
         self.reading = False  # more commands may lie behind the one just read
+        self.upload: Upload | None = None  # the long write that is coming
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
@@ -110,7 +113,8 @@
         self.heard = self.front.now()
         if self in self.front.fresh:
             self.front.fresh.move_to_end(self)
-        if self.half is None:
+        if self.half is None or self.upload is not None:  # of a long write each piece has that time
+            self.front.deadlines.drop(self.half)
             self.half = self.front.deadlines.at(self.heard + self.WHOLE, self.half_said)
 
     def half_said(self) -> None:
@@ -124,6 +128,11 @@
         self.front.idle.pop(self, None)
         self.front.deadlines.drop(self.half)
         self.half = None
+        if args and isinstance(args[-1], Given):
+            upload, self.upload = self.upload, None
+            self.transport.bufferSize = VALUE
+            upload.end()
+            return self.flush()
         self.asked += 1
         if not args or not all(isinstance(arg, bytes) for arg in args):
             return self.malformed("not a command")
@@ -138,8 +147,25 @@
             super().pauseProducing()
         self.flush()
 
+    def begins(self, size: int):
+        args = self.open[0][0] if len(self.open) == 1 and self.open[0][1] == 5 else []
+        known = len(args) == 4 and all(isinstance(arg, bytes) for arg in args)
+        if not known or not WRITES.get(args[0].upper()):
+            return self.malformed("too long")
+        self.front.idle.pop(self, None)
+        self.asked += 1
+        place = [None, None, 0, None]
+        self.owed.append(place)
+        self.upload = Upload(self, size, self.front.window())
+        self.front.take(self, place, args, True, self.upload)
+        self.flush()
+        return self.upload.piece
+
     def malformed(self, why: str) -> None:
         """Guards against taking bytes for commands that are none: what is owed goes out, and then the end."""
+        upload, self.upload = self.upload, None
+        if upload is not None and upload.req is not None:
+            self.front.cut(upload)
         self.front.idle.pop(self, None)
         self.deafen()
         self.transport.pauseProducing()  # one that goes on sending at full speed would cost our time
@@ -203,9 +229,16 @@
         return bool(self.asked and not self.owed and not self.reading and not self.deaf and self.between())
 
     def go_on(self) -> None:
-        if self.paused and not self.deaf and not self.blocked and len(self.owed) < self.MOST:
+        held = self.blocked or len(self.owed) >= self.MOST or (self.upload is not None and self.upload.held)
+        if self.paused and not self.deaf and not held:
             super().resumeProducing()
 
+    def stop_reading(self) -> None:
+        """The node of a long write takes no more for now."""
+        super().pauseProducing()
+        self.front.deadlines.drop(self.half)
+        self.half = None
+
     def leave(self, code: str) -> None:
         """Closes between commands; one that does not read its last answers is cut off."""
         self.front.fresh.pop(self, None)
@@ -237,6 +270,7 @@
         self.go_on()
 
     def connectionLost(self, reason) -> None:  # noqa: N802
+        self.deafen()  # what is read already and waits must not be taken any more
         self.front.deadlines.drop(self.stuck)
         self.front.deadlines.drop(self.half)
         self.front.lost(self, self.ended(reason, "client"))
@@ -257,9 +291,9 @@
     SLICE, SPREAD, HALVES = 20_000, 1_000_000, 900_000
     EACH = 8  # closed in a slice where they are beyond a bound that has changed
 
-    def __init__(self, deadlines, now, taken, gone, ready, methods, tenants, most: int, memory: int):
+    def __init__(self, deadlines, now, taken, gone, cut, ready, methods, tenants, most: int, memory: int):
         self.deadlines, self.now = deadlines, now
-        self.taken, self.gone, self.ready = taken, gone, ready
+        self.taken, self.gone, self.cut, self.ready = taken, gone, cut, ready
         self.knows(methods, tenants)
         self.most, self.held = most, memory // self.HELD
         self.fitting: list | None = None
@@ -328,9 +362,16 @@
             return OK
         return b"-ERR unknown command\r\n"
 
-    def take(self, client: Client, place: list, args: list[bytes], write: bool) -> None:
+    def window(self) -> int:
+        """Bytes of a long write that are read at once: what waits of all is bounded like values in hand."""
+        long = sum(client.upload is not None for client in self.clients.values())
+        return max(Relay.LEAST, min(VALUE, self.held // (3 * (long + 1))))
+
+    def take(
+        self, client: Client, place: list, args: list[bytes], write: bool, upload: Upload | None = None
+    ) -> None:
         fault, wait = None, None
-        if len(args) != (5 if write else 4):
+        if len(args) != (5 if write and upload is None else 4):
             fault = b"-ERR wrong number of arguments\r\n"
         else:
             wait = WAIT.search(args[3])
@@ -346,6 +387,8 @@
                 fault = BUSY
         if fault:
             place[0] = fault
+            if upload is not None:
+                upload.discard()
             return
         self.fresh.pop(client, None)
         ident = args[2]
@@ -355,21 +398,25 @@
 
         def reply(word: str, what: bytes | int) -> None:
             self.ids.discard(ident)
+            if upload is not None and not upload.whole:
+                upload.discard()
             client.answer(place, told(word, what))
 
         place[3] = ident
         place[1] = self.taken(
             reply,
-            Frame(args, wait.span(1)),
+            Frame(args, wait.span(1), upload.size if upload else 0),
             method,
             int(wait[1]) * 1000,
             key_of(args[1]),
             self.tenants.get(fields.get(b"t")),
             write,
             fields.get(b"r") == b"1",
+            upload,
         )
 
     def lost(self, client: Client, code: str) -> None:
+        client.upload = None
         self.idle.pop(client, None)
         self.fresh.pop(client, None)
         self.clients.drop(client.slot)
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -16,23 +16,27 @@
     ERRORED, FULL, MISSED, OVERDUE, RECALLED, REFUSED, SATISFIED, SEVERED, SUPERSEDED, UNFIT, WriteOut,
 )
 from . import tables
-from .relay import Relay
+from .relay import Relay, Upload
 from .resp import LONGEST, VALUE, Given, Resp
 
 
 class Sending:
     """One write-out on its way: it waits at a place for a connection, or is out on a link, or has ended."""
 
-    __slots__ = ("write_out", "frame", "link", "place", "until", "over", "report")
+    __slots__ = ("write_out", "frame", "upload", "link", "place", "until", "over", "report")
 
-    def __init__(self, write_out: WriteOut, frame):
-        self.write_out, self.frame = write_out, frame
+    def __init__(self, write_out: WriteOut, frame, upload: Upload | None = None):
+        self.write_out, self.frame, self.upload = write_out, frame, upload
         self.link: Link | None = None
         self.place: Place | None = None
         self.until: list[list] = []  # its deadlines
         self.over = False
         self.report: bytes | None = None  # the node's load, as it came with the answer
 
+    def partial(self) -> bool:
+        """Its last byte has not gone out: the node can't have begun it."""
+        return self.upload is not None and not self.upload.whole
+
 
 class Place:
     """A node's address and what we have there."""
@@ -155,7 +159,6 @@
     FEW = 6  # connections to a node before a write-out goes behind others instead of on a new one
     COPY = 5_000  # two equal values so soon after each other are one and its copy: each is made for its req
     STALLS = 10_000_000  # without a byte of a long answer that is being passed on: peers take seconds for one
-    LEAST_PIECE = 4_096
     LITTLE = 262_144  # bytes of an answer nobody wants that are sooner read than a connection made anew
     LINGER = 1_000_000  # for an answer nobody waits for: most late ones come by then, a hung node's never
 
@@ -246,7 +249,8 @@
 
     def fits(self, link: Link) -> bool:
         """One more write-out can go behind those on it, none of which has been given up."""
-        return len(link.out) < self.deep and not link.reading and not any(one.over for one in link.out)
+        given_up = any(one.over or one.partial() for one in link.out)
+        return len(link.out) < self.deep and not link.reading and not given_up
 
     def open(self, place: Place) -> None:
         if len(place.opening) >= len(place.waiting) or len(place.links) >= self.EACH:
@@ -270,7 +274,10 @@
         link.out.append(sending)
         link.carried += 1
         rest = max(1, (sending.write_out.until - self.now()) // 1000)
-        link.transport.writeSequence(sending.frame.telling(rest))
+        if sending.upload is None:
+            return link.transport.writeSequence(sending.frame.telling(rest))
+        link.transport.writeSequence(sending.frame.telling(sending.upload.rest))
+        sending.upload.sent_to(link)
 
     def call_off(self, sending: Sending) -> None:
         self.give_up(sending, RECALLED)
@@ -290,6 +297,9 @@
         link, code = sending.link, "called-off" if outcome == RECALLED else "out-of-time"
         if link is None:
             return self.end(sending, SUPERSEDED if outcome == RECALLED else REFUSED)
+        if sending.partial():
+            self.end(sending, SUPERSEDED if outcome == RECALLED else REFUSED)
+            return link.drop(code)
         if not self.linger:
             link.drop(code)
         elif not any(other.over for other in link.out):
@@ -311,8 +321,16 @@
             self.deadlines.drop(deadline)
         if sending.link is None:
             sending.place.waiting.remove(sending)
+        if sending.partial():
+            sending.upload.broke()
         self.ended(sending, outcome, value)
 
+    def through(self, sending: Sending, until: int) -> None:
+        """A long write has gone out whole: its time counts from now."""
+        for deadline in sending.until:
+            self.deadlines.drop(deadline)
+        sending.until = [self.deadlines.at(until, self.out_of_time, sending)]
+
     # What happens on links.
 
     def came_up(self, link: Link) -> None:
@@ -367,12 +385,17 @@
         sending = link.out.popleft()
         link.answers += 1
         link.place.broke = 0
+        early = sending.partial()
         if not any(other.over for other in link.out):
             self.deadlines.drop(link.deadline)
         if outcome in (SATISFIED, MISSED):
             sending.report = value[2]
         if not sending.over:
+            if early and outcome in (SATISFIED, MISSED):
+                outcome = ERRORED  # to what it has not seen whole
             self.end(sending, outcome, value[0] if outcome == SATISFIED else None)
+        if early:
+            link.drop("early: an answer to half a write")
 
     # Long answers.
 
@@ -386,7 +409,7 @@
         if sending.over:
             return lambda piece: None
         # A connection's piece, the client's, and what lies between them.
-        window = max(self.LEAST_PIECE, min(VALUE, self.pieces // (3 * (len(self.relaying) + 1))))
+        window = max(Relay.LEAST, min(VALUE, self.pieces // (3 * (len(self.relaying) + 1))))
         relay = link.relay = self.relaying[link] = Relay(link, size, window)
         link.place.broke = 0
         self.end(sending, SATISFIED, relay)
@@ -443,6 +466,9 @@
             # Guards against taking a kept connection's end for the node's: the first tells nothing of it, but
             # what was out may have run.
             place.broke += 1
+            for sending in [*link.out]:
+                if sending.partial():  # it never ran
+                    self.end(sending, SUPERSEDED if place.broke == 1 and link.answers else REFUSED)
             self.end_all(link, RECALLED if place.broke == 1 and link.answers else SEVERED)
         if failed and code != "connect-timeout" and place.waiting:  # of those each has a deadline of its own
             self.end(place.waiting[0], FULL if code == "no-descriptor" else REFUSED)
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -14,7 +14,7 @@
 from twisted.internet.error import CannotListenError
 
 from ..model import (  # fmt: skip
-    CLIENT_GONE, DONE, FAIL, GO, LEAVING, LEFT, NACK, READY, SATISFIED, Node, Req, WriteOut, figures,
+    CLIENT_GONE, DONE, FAIL, GO, LEAVING, LEFT, NACK, READY, SATISFIED, WAIT, Node, Req, WriteOut, figures,
 )
 from ..settings import Run, address
 from .admin import Admin
@@ -23,6 +23,7 @@
 from .handover import Handover, State, adopt, take, told
 from .nodes import Nodes, Sending
 from .peers import Peers
+from .relay import Upload
 from .resp import SHORT
 from .tables import Clock, Deadlines, Slots
 
@@ -33,14 +34,17 @@
 class Held:
     """A req in hand: what came, and how to answer."""
 
-    __slots__ = ("req", "frame", "reply", "slot", "last_call")
+    __slots__ = ("req", "frame", "upload", "wait", "reply", "slot", "last_call", "place_by")
 
-    def __init__(self, req: Req, frame: Frame, reply):
+    def __init__(self, req: Req, frame: Frame, reply, upload: Upload | None, wait: int):
         self.req, self.frame, self.reply, self.slot = req, frame, reply, -1
+        self.upload, self.wait = upload, wait
         self.last_call: list | None = None
+        self.place_by: list | None = None  # a long write's deadline for going anywhere
 
 
 class Proxy:
+    COMING = 60_000_000  # a long write may take so long to come; its own time counts from its last byte
     LAST = 2_000  # after its end a req is answered whatever the decisions do; they come first
     AT_ONCE = 16  # clients accepted in one go: with no room so many make way only after it, of Front.SPARE
     LET_GO = 100_000  # before the address for datagrams is tried again
@@ -65,7 +69,7 @@
         )  # fmt: skip
         most = run.sockets - self.nodes.most - Front.SPARE
         self.front = Front(
-            self.deadlines, self.now, self.taken, self.gone, self.ready,
+            self.deadlines, self.now, self.taken, self.gone, self.cut, self.ready,
             self.settings.methods, self.settings.tenants, most, run.memory,
         )  # fmt: skip
         self.discovery = Discovery(
@@ -248,10 +252,17 @@
 
     # Clients.
 
-    def taken(self, reply, frame: Frame, method, wait: int, key: int, tenant, write, repeat) -> int:
+    def taken(
+        self, reply, frame: Frame, method, wait: int, key: int, tenant, write, repeat,
+        upload: Upload | None = None,
+    ) -> int:  # fmt: skip
         now = self.now()
-        req = Req(method, now, now + wait, key, tenant, write, repeat)
-        held = Held(req, frame, reply)
+        arrives = now if upload is None else now + self.COMING
+        req = Req(method, arrives, arrives + wait, key, tenant, write, repeat)
+        held = Held(req, frame, reply, upload, wait)
+        if upload is not None:
+            upload.req, upload.through = req, self.through
+            upload.rest = max(1, (self.choice.end(req) - arrives) // 1000)
         held.slot = self.reqs.put(held)
         self.held[req] = held
         # Guards against a req that failing decisions have lost: its client gets an answer all the same.
@@ -260,6 +271,24 @@
         self.settle()
         return held.slot
 
+    def through(self, upload: Upload) -> None:
+        """A long write's last byte has gone out: it is taken now, and the node can begin."""
+        held = self.held.get(upload.req)
+        if held is None:
+            return
+        req, now = held.req, self.now()
+        req.arrived, req.give_up_at = now, now + held.wait
+        write_out = req.write_outs[-1]
+        write_out.sent, write_out.until = now, self.choice.end(req)
+        self.nodes.through(self.sendings[write_out], write_out.until)
+        self.deadlines.drop(held.last_call)
+        held.last_call = self.deadlines.at(req.give_up_at + self.LAST, self.answer, req, FAIL)
+
+    def cut(self, upload: Upload) -> None:
+        """A long write will never come whole."""
+        self.answer(upload.req, FAIL)
+        self.call_off([w for w in upload.req.write_outs if w.outcome is None])
+
     def gone(self, slot: int) -> None:
         held = self.reqs[slot]
         req = held.req
@@ -276,6 +305,7 @@
     def close(self, held: Held) -> None:
         held.req.over = True
         self.deadlines.drop(held.last_call)
+        self.deadlines.drop(held.place_by)
         del self.held[held.req]
         self.reqs.drop(held.slot)
 
@@ -305,9 +335,12 @@
             if word == GO:
                 self.nodes.release(node.name)
         elif word == GO:
-            write_out = req.write_outs[-1]
-            sending = self.sendings[write_out] = Sending(write_out, self.held[req].frame)
+            write_out, held = req.write_outs[-1], self.held[req]
+            self.deadlines.drop(held.place_by)
+            sending = self.sendings[write_out] = Sending(write_out, held.frame, held.upload)
             self.nodes.send(sending, node.name, when)
+        elif word == WAIT:
+            self.seek(self.held.get(req))
         elif word == NACK:
             self.answer(req, NACK, -(-when // 1000))
         elif word == FAIL:
@@ -316,6 +349,17 @@
             logger.error("decisions failed: a req was let go without an answer")
             self.answer(req, FAIL)
 
+    def seek(self, held: Held | None) -> None:
+        """A long write's time has not begun: what the decisions give one to find a place is given here."""
+        if held is None or held.upload is None or held.upload.whole or held.req.once:
+            return
+        if held.place_by is None or held.place_by[2] is None:
+            held.place_by = self.deadlines.at(self.now() + held.wait // 8, self.no_place, held)
+
+    def no_place(self, held: Held) -> None:
+        if all(write_out.outcome for write_out in held.req.write_outs):
+            self.answer(held.req, NACK, -(-self.choice.come_back // 1000))
+
     def ended(self, sending: Sending, outcome: str, value: bytes | None) -> None:
         """A write-out has ended; the client of a satisfied one gets its answer before all else."""
         del self.sendings[sending.write_out]
