--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,11 +6,9 @@
 import time
 from random import Random
 
-import pytest
 from helpers import client, get, hit, link, proxy
 from standin import Node
 from test_net import Reader
-from test_upgrade import Platform
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
 
@@ -238,22 +236,6 @@
     assert asking.transport.took() == bulk(LONG) and asking.transport.disconnecting
 
 
-@pytest.fixture
-def platform(tmp_path):
-    made = []
-
-    def start(*nodes):
-        made.append(Platform(tmp_path, *nodes))
-        return made[-1]
-
-    yield start
-    for one in made:
-        for process in one.running:
-            process.kill()
-            process.communicate()
-        one.door.close()
-
-
 def test_more_long_values_at_once_than_memory_holds(platform):
     # 40 of 4 MiB through a proxy of 64 MB, to clients that begin to read late.
     value = b"long" * (1 << 20)
--- a/tests/test_upload.py
+++ b/tests/test_upload.py
@@ -5,10 +5,8 @@
 import threading
 import time
 
-import pytest
 from helpers import S, client, get, hit, link, proxy
 from standin import Node
-from test_upgrade import Platform
 from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
 from twisted.python.failure import Failure
 
@@ -175,22 +173,6 @@
     assert node.transport.took() == HEAD + LONG[:1000] and len(made.reactor.tcpClients) == 2
 
 
-@pytest.fixture
-def platform(tmp_path):
-    made = []
-
-    def start(*nodes):
-        made.append(Platform(tmp_path, *nodes))
-        return made[-1]
-
-    yield start
-    for one in made:
-        for process in one.running:
-            process.kill()
-            process.communicate()
-        one.door.close()
-
-
 def test_more_long_writes_at_once_than_memory_holds(platform):
     nodes = [Node(), Node(), Node()]
     at = platform(*nodes)
