The list is asked for again where it must be: one piece says when, for simulator and sockets

Change: Asking in choice.py (clock and random source passed in) says when to call: at the start, after a failed call or broken watch 0.75 s doubled to 6 s, spread by half below and above.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -552,6 +552,42 @@
         return []
 
 
+# --- When the list is asked for ---
+
+
+class Asking:
+    """Says when the list's service is called: at the start, and again after a call or a watch has failed.
+
+    Guards a service of fixed capacity against the calls of a whole fleet at once, of which most would fail,
+    and a proxy against being held to news that it never asked for: one without a watch is deemed told.
+    """
+
+    def __init__(self, rng: Random, least: int, most: int):
+        self.rng, self.least, self.most = rng, least, most
+        self.failures = 0
+        self.next_at: int | None = None  # none: a call or a watch is on
+
+    def begin(self, now: int) -> None:
+        self.failures, self.next_at = 0, now
+
+    def due(self, now: int) -> bool:
+        """Whether to call now; the call then counts as made."""
+        if self.next_at is None or now < self.next_at:
+            return False
+        self.next_at = None
+        return True
+
+    def answered(self) -> None:
+        self.failures = 0
+
+    def failed(self, now: int) -> int:
+        """Of a call, or a watch that broke: when to call next, later each time and spread by chance."""
+        self.failures += 1
+        pause = min(self.least << min(self.failures, 8), self.most)
+        self.next_at = now + pause // 2 + self.rng.randrange(pause)
+        return self.next_at
+
+
 # --- The choice ---
 
 
--- a/ivystack/net/discovery.py
+++ b/ivystack/net/discovery.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-from random import Random
-
 import orjson
 from loguru import logger
 from twisted.internet.error import ConnectError
 from twisted.protocols.basic import LineReceiver
 from twisted.web.client import Agent
 
+from ..choice import Asking
+
 PATH = b"http://%b:%d/v1/endpoints?stream=1&index=%d"
 
 
@@ -40,20 +40,16 @@
 
 class Discovery:
     SILENT = 5_000_000  # two of its empty lines missed, and some
-    # Before the next call; doubled a failure.  The most is short: the agent is near and costs nothing.
-    PAUSE, PAUSE_MOST = 100_000, 800_000
 
-    def __init__(self, reactor, deadlines, now, rng: Random, address, told, spaced: int = 0):
+    def __init__(self, reactor, deadlines, now, asking: Asking, address, told):
         self.agent = Agent(reactor, connectTimeout=2)
-        self.deadlines, self.now, self.rng, self.address = deadlines, now, rng, address
+        self.deadlines, self.now, self.asking, self.address = deadlines, now, asking, address
         self.told = told  # (entries, whole): news
-        self.spaced = spaced  # where lists are asked for: the least pause, for a service of fixed capacity
         self.generation = 0
         self.body: Lines | None = None
         self.call = None
         self.silence: list | None = None
         self.next: list | None = None  # the deadline of the next call
-        self.failures = 0
         self.stopped = False
 
     def known(self, listing: dict) -> None:
@@ -100,7 +96,7 @@
         except Exception as fault:  # guards against whatever may come: the watch is begun anew
             logger.error("discovery: a line that can't be used: {}: {}", type(fault).__name__, fault)
             return self.broke("unreadable")
-        self.failures = 0
+        self.asking.answered()
 
     def take(self, listing: dict) -> None:
         generation, whole = int(listing["generation"]), bool(listing.get("reset"))
@@ -116,21 +112,15 @@
         if body is not None and body.transport is not None:
             body.transport.loseConnection()
         logger.info("end discovery generation={} code={}", self.generation, code)
-        self.failures += 1
-        if self.stopped:
-            return
-        pause = min(self.PAUSE << min(self.failures, 8), self.PAUSE_MOST)
-        wait = pause // 2 + self.rng.randrange(pause)
-        if self.spaced:  # guards an overbooked service: it ends the watches of all who come back at once
-            pause = self.spaced << min(self.failures, 3)
-            wait = pause + self.rng.randrange(pause + 1)
-        self.next = self.deadlines.at(self.now() + wait, self.watch)
+        if not self.stopped:
+            self.next = self.deadlines.at(self.asking.failed(self.now()), self.watch)
 
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is elsewhere from now on.  Its versions go on, so what is known stays known."""
         if address == self.address or self.stopped:
             return
-        self.address, self.failures = address, 0
+        self.address = address
+        self.asking.answered()
         if self.call is not None or self.body is not None:
             self.broke("moved")
         self.watch()
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections import deque
-from random import Random
 
 import orjson
 from loguru import logger
@@ -73,8 +72,7 @@
             self.settings.methods, self.settings.tenants, most, run.memory,
         )  # fmt: skip
         self.discovery = Discovery(
-            reactor, self.deadlines, self.now, Random(run.seed + 1), run.discovery, self.listed,
-            self.settings.spaced,
+            reactor, self.deadlines, self.now, self.settings.asking, run.discovery, self.listed,
         )  # fmt: skip
         self.peers = Peers(run.peers, self.told)
         self.handover = Handover(
@@ -184,7 +182,6 @@
         run.settings, self.run = self.settings, run
         self.front.knows(self.settings.methods, self.settings.tenants)
         self.nodes.tune(run.idle, run.connect_timeout, self.deep())
-        self.discovery.spaced = self.settings.spaced
         logger.info(
             "configuration taken discovery={}:{} classes={} changed={}", *run.discovery,
             len(self.settings.methods), len(former),
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -16,7 +16,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from .choice import Choice, Cold, Health, Hearsay, Links, Live, Order, Placement, Room, Shares
+from .choice import Asking, Choice, Cold, Health, Hearsay, Links, Live, Order, Placement, Room, Shares
 from .model import DEDUPLICATED, NON_RETRYABLE, RETRYABLE, Method, Tenant
 
 SEMANTICS = {"pure": RETRYABLE, "token": DEDUPLICATED, "side_effect": NON_RETRYABLE}
@@ -79,6 +79,8 @@
     worst_window: Figure = None
     worst_class: Figure = None
     worst_tenant: Figure = None
+    tail_part: Figure = None
+    miss_share: Part = None  # of a method's reqs in 5 s: what the tail part leaves unpunished
     availability: Figure = None
     nines_wanted: Figure = None
 
@@ -100,7 +102,7 @@
     blend: BlendSheet | None = None
     zone: str | None = None
     zones: list[str] | None = None
-    discovery: Literal["push", "ask"] | None = None  # ask: calls for a list are spaced
+    discovery: Literal["push", "ask"] | None = None  # ask: it comes only to those who call
     weight_source: Literal["none", "nominal", "rough", "live"] | None = None
     excess_criticality: Figure = None
     n_instances: Count = None
@@ -156,6 +158,8 @@
 class Settings:
     """One instance's decisions, with the names that the wire uses for its methods, tenants and kinds."""
 
+    PAUSES = 100_000, 800_000  # before the list is called for again: the agent is near and costs nothing
+
     def __init__(self, seed: int, config: Any):
         rng = Random(seed)
         sheet = config if isinstance(config, Sheet) else checked(config, Sheet)
@@ -168,10 +172,14 @@
         reporting = sheet.reporting or ReportingSheet()
         self.columns = frozenset(reporting.columns or []) if reporting.how == "answers" else frozenset()
         live = sheet.weight_source == "live"
-        self.spaced = min(500_000, us(rules.ask_within) // 8) if sheet.discovery == "ask" else 0
+        # Where lists are asked for, a service of fixed capacity answers all; even the longest pause is well
+        # within the time after which we would be deemed told.
+        least = min(750_000, us(rules.ask_within) // 8) if sheet.discovery == "ask" else 0
+        self.pauses = (least, 8 * least) if least else self.PAUSES
         self.may_duplicate = bool(limits.may_duplicate)
         self.streams = limits.streams_per_conn or 1
         self.idle, self.connect_timeout = us(limits.conn_idle), us(limits.connect_timeout)
+        self.asking = Asking(Random(seed + 1), *self.pauses)
         origin, excess, proxies = specifics.origin_kind, sheet.excess_criticality, sheet.n_instances or 1
         self.choice = Choice(
             rng,
@@ -197,8 +205,9 @@
     def take(self, new: Settings) -> list[Method]:
         """From now on all is as the new settings say.  Tells which methods' objects are not in use any more;
         reqs under way keep theirs."""
-        for name in ("sheet", "columns", "spaced", "may_duplicate", "streams", "idle", "connect_timeout"):
+        for name in ("sheet", "columns", "pauses", "may_duplicate", "streams", "idle", "connect_timeout"):
             setattr(self, name, getattr(new, name))
+        self.asking.least, self.asking.most = new.pauses
         ours, theirs = self.choice, new.choice
         for name in ("most", "may_duplicate", "come_back", "tick", "many"):
             setattr(ours, name, getattr(theirs, name))
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -88,3 +88,33 @@
         else:
             play(wire, ["TURN", 3000], done, ["END"])
             assert wire.instances["proxy_0"].choice.nodes[reply[0][4]].load == load
+
+
+def asking(wire, discovery="ask", now=1000):
+    config = {"methods": [METHOD], "discovery": discovery, "rules": {"ask_within": 10 * S * 1000}}
+    node = ["std", "n1", 1, 0, "active", "z", None]
+    return play(
+        wire,
+        ["TURN", now],
+        ["UP", "proxy_0", 7, config],
+        ["REGISTER", 0, [node]],
+        ["MEMBERS", "proxy_0", 0, "C", 1],
+        ["END"],
+    )
+
+
+def test_where_the_list_is_asked_for_a_proxy_calls_at_its_start_and_again_after_a_failure():
+    # Guards the drain rule: a proxy without a watch is deemed told of drains that it never heard of.
+    assert asking(Wire(), "push") == [["FINISHED"]]
+    wire = Wire()
+    assert asking(wire)[0] == ["WATCH", "proxy_0", True]
+    for failed in range(3):  # calls that fail, or later a watch that breaks
+        at = (failed + 1) * 10 * S * 1000
+        timer, *rest = play(wire, ["TURN", at], ["MEMBERS", "proxy_0", 0, "X", 1], ["END"])
+        assert timer[0] == "SET_TIMER" and rest == [["FINISHED"]]
+        assert 0 < timer[2] < 8 * S * 1000  # within the time after which it would be deemed told
+        due = at + timer[2] + 1000
+        assert play(wire, ["TURN", due], ["TIMER", "proxy_0", 1], ["END"])[0] == ["WATCH", "proxy_0", True]
+    news = ["MEMBERS", "proxy_0", 0, "D", 2]
+    assert play(wire, ["TURN", 99 * S * 1000], news, ["END"]) == [["FINISHED"]]
+    assert not wire.instances["proxy_0"].asking.failures
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -127,3 +127,12 @@
     running = Settings(1, {"kinds": ["a", "b"], "specifics": {"origin_kind": 1}})
     running.take(Settings(1, {"kinds": ["b", "c"], "specifics": {"origin_kind": 0}}))
     assert running.kinds == {"a": 0, "b": 1, "c": 2} and running.choice.origin_kind == 1
+
+
+def test_the_tail_of_the_blend_is_read_and_checked_and_absent_ones_leave_all_as_it_was():
+    assert Settings(1, {"blend": {"whole": 0.7}}).sheet.blend.tail_part is None
+    blend = Settings(1, {"blend": {"tail_part": 0.2, "miss_share": 0.02}}).sheet.blend
+    assert (blend.tail_part, blend.miss_share) == (0.2, 0.02)
+    for key, value in (("tail_part", -1), ("miss_share", 1.5), ("miss_share", "2%")):
+        with pytest.raises(FaultError, match=f"blend.{key}"):
+            Settings(1, {"blend": {key: value}})
