How words between proxies are written moves to words.py; the module decides only

Two doctests that tests/test_choice.py repeats are gone, Asking is shorter. No decision changes: the tests of slot orders and endings are the same.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -25,6 +25,7 @@
     READY, RECALLED, REFUSED, RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, UNFIT, WAIT, Errors, Method, Node,
     Req, Tenant, WriteOut,
 )
+from .words import ENDING, asker, endings, mark, order, question, read_endings, read_order
 
 NEVER_RAN = {FULL, REFUSED, SUPERSEDED, MISSED}  # the wire page: these endings prove it
 
@@ -33,11 +34,7 @@
 
 
 def digits(rid: int, count: int, first: int = 1, parts: int = 1) -> list[int]:
-    """The factorial digits x_0 .. x_(count-1) of rid, x_l in 0..l in so many parts; zeros at the end count.
-
-    >>> digits(1000, 8)
-    [0, 0, 2, 2, 1, 2, 1, 0]
-    """
+    """The factorial digits x_0 .. x_(count-1) of rid, x_l in 0..l in so many parts; end zeros count."""
     found = []
     for radix in range(first, first + count):
         rid, digit = divmod(rid, radix * parts)
@@ -64,9 +61,6 @@
 
     Replica r is at the highest slot l >= k whose digit is r, else at slot r: so walk down from the last slot
     and stop when all are found.  The spare follows the next digit value, k, over slots that no replica has.
-
-    >>> spots([0, 0, 2, 3, 2, 1], 3)[:3]
-    [0, 5, 4]
     """
     k = min(k, len(found))
     place: list[int | None] = [None] * k
@@ -87,11 +81,6 @@
     return taken if spare is None else [*taken, spare]
 
 
-def mark(node: Node) -> bytes:
-    """What stands for a node in words between proxies: 24 bits, seldom alike among some hundreds."""
-    return bytes.fromhex(node.name) if node.unnamed else blake2b(node.name.encode(), digest_size=3).digest()
-
-
 class Placement:
     """Which caches a key lives on: slots in order of first start, a walk down the key's digits."""
 
@@ -128,7 +117,7 @@
             self.known.clear()
 
     def adopt(self, marks: list[bytes], nodes: list[Node], now: int) -> None:
-        """The order that another proxy keeps; who is not on our list is awaited, as after a crash."""
+        """Takes another proxy's order; who is not on our list is awaited, as after a crash."""
         known = {mark(node): node for node in nodes}
         more = dict(state=LEFT, left_at=now, window=Room.START, unnamed=True)
         more["weight"] = sum(node.weight for node in nodes) / max(1, len(nodes))
@@ -178,7 +167,7 @@
         self.last: deque[int | None] = deque(maxlen=self.KEPT)
 
     def replicas(self, key: int | None, k: int, slots: int) -> int:
-        """How many a key is given, at least k; the req itself does not count, so a key seen once gets k."""
+        """At least k; the req itself does not count, so a key seen once gets k."""
         loads = (self.last.count(key) - 1) / max(1, len(self.last)) * slots / self.EACH
         return max(k, min(slots, ceil(loads)))
 
@@ -321,7 +310,7 @@
     def __init__(self):
         self.common = 1.0  # of our reqs may go out: a light proxy meets nodes too seldom to go by each
 
-    def has(self, node: Node, part: float, now: int, calm: float = 0.0, rest: float = 1e5) -> bool:
+    def has(self, node: Node, part: float, now: int, calm=0.0, rest: float = 1e5) -> bool:
         # Listed at rest is as good: guards a good node against what the rest of the fleet shows.
         rests = node.load <= Live.REST and now < node.load_at + Live.AGE
         heard = (now < node.heard + self.FRESH or rests) and node.window >= 1
@@ -394,8 +383,7 @@
             return 1.0
         rate = len(self.last) * 1_000_000 / max(1, now - self.last[0][1])
 
-        def part(t: Tenant) -> float:
-            """Of its allowance that comes here, as if ALIKE more reqs had come in due proportion."""
+        def part(t: Tenant) -> float:  # of its allowance that comes here, as if ALIKE more came in proportion
             return (t.recent / t.allowance + self.ALIKE / due) / (len(self.last) + self.ALIKE) * rate
 
         parts = sorted(part(t) for t in self.tenants if t.allowance)
@@ -448,7 +436,7 @@
     def due(self, now: int) -> list[Req]:
         """Standing reqs, one for each node whose idle connections are to be closed now."""
         found = []
-        while self.idle and next(iter(self.idle.values())) + self.keep <= now:
+        while self.idle and self.rest() <= now:
             found.append(Req(None, now, now, closing=self.idle.popitem(last=False)[0]))
         return found
 
@@ -469,7 +457,6 @@
     EVERY = 250_000  # well below the time in which forty proxies, none of which has seen it, jam a node
     SOON = 30_000  # one with a bad ending: a jam grows by what comes meanwhile, and endings come in bursts
     TO = 12  # peers each, drawn anew: everyone then hears of that many times the endings of its own
-    SIZE = 4  # bytes an ending: three of the node's name, hashed, and how it ended
 
     def __init__(self, rng: Random, me: int, proxies: int):
         self.rng, self.others = rng, [peer for peer in range(proxies) if peer != me]
@@ -487,7 +474,7 @@
         if self.next_at is None or now < self.next_at:
             return []
         self.next_at = None
-        words = b"".join(mark(node) + bytes([well]) for node, well in [*self.ended.items()][-64:])
+        words = endings([*self.ended.items()][-64:])
         self.ended.clear()
         peers = self.rng.sample(self.others, min(self.TO, len(self.others)))
         return [Req(None, now, now, saying=(peer, words)) for peer in peers]
@@ -496,8 +483,7 @@
         self.marked = {mark(node): node for node in nodes}
 
     def told(self, words: bytes) -> list[tuple[Node, bool]]:
-        parts = [words[at : at + self.SIZE] for at in range(0, len(words), self.SIZE)]
-        return [(self.marked[part[:-1]], part[-1] == 1) for part in parts if part[:-1] in self.marked]
+        return [(self.marked[one], well) for one, well in read_endings(words) if one in self.marked]
 
 
 class Order:
@@ -510,7 +496,6 @@
     EVERY = 500_000  # a question: words may be lost, and whom we ask may have started just now as well
     YOUNG = 8_000_000  # the longest that lists take to show all alike; the young ask, and tell nobody
     TO = 6  # peers asked at a time: one of them has run for longer, where not nearly all are young
-    HEAD, SLOTS = 9, 80  # bytes before the marks, and marks in a message of at most 256
 
     def __init__(self, rng: Random, me: int, proxies: int):
         self.rng, self.me, self.others = rng, me, [peer for peer in range(proxies) if peer != me]
@@ -529,27 +514,15 @@
                 self.next_at = None
             else:
                 asked = self.rng.sample(self.others, min(self.TO, len(self.others)))
-                said += [(peer, b"?%b" % self.me.to_bytes(2, "big")) for peer in asked]
+                said += [(peer, question(self.me)) for peer in asked]
         return [Req(None, now, now, saying=one) for one in said]
 
     def told(self, words: bytes, slots: list[Node], now: int) -> list[bytes]:
         """Answers a question; of an answer that has come whole, the marks in order of slots."""
-        young = self.grown_at is None or now < self.grown_at
-        if words[:1] == b"?" and len(words) == 3 and not young:
-            peer, marks = int.from_bytes(words[1:], "big"), b"".join(map(mark, slots))
-            head = b"=%b%b" % (blake2b(marks, digest_size=4).digest(), len(slots).to_bytes(2, "big"))
-            for first in range(0, len(slots), self.SLOTS):
-                part = head + first.to_bytes(2, "big") + marks[3 * first :][: 3 * self.SLOTS]
-                part += b"=" * (len(part) % Hearsay.SIZE == 0)  # so that its length tells it from endings
-                self.replies.append((peer, part))
-        elif words[:1] == b"=" and young and len(words) > self.HEAD and len(self.parts) < 16:
-            count, first = int.from_bytes(words[5:7], "big"), int.from_bytes(words[7:9], "big")
-            parts = self.parts.setdefault(words[1:5], {})
-            parts[first] = words[self.HEAD :][: 3 * min(self.SLOTS, count - first)]
-            marks = b"".join(parts[at] for at in sorted(parts))
-            if len(marks) == 3 * count and blake2b(marks, digest_size=4).digest() == words[1:5]:
-                return [marks[at : at + 3] for at in range(0, len(marks), 3)]
-        return []
+        young, peer = self.grown_at is None or now < self.grown_at, asker(words)
+        if peer is not None and not young:
+            self.replies.extend((peer, part) for part in order(slots))
+        return read_order(words, self.parts) if young else []
 
 
 # --- When the list is asked for ---
@@ -558,8 +531,8 @@
 class Asking:
     """Says when the list's service is called: at the start, and again after a call or a watch has failed.
 
-    Guards a service of fixed capacity against the calls of a whole fleet at once, of which most would fail,
-    and a proxy against being held to news that it never asked for: one without a watch is deemed told.
+    Guards a service of fixed capacity against a whole fleet's calls at once, of which most would fail, and a
+    proxy against being held to news that it never asked for.
     """
 
     def __init__(self, rng: Random, least: int, most: int):
@@ -567,9 +540,6 @@
         self.failures = 0
         self.next_at: int | None = None  # none: a call or a watch is on
 
-    def begin(self, now: int) -> None:
-        self.failures, self.next_at = 0, now
-
     def due(self, now: int) -> bool:
         """Whether to call now; the call then counts as made."""
         if self.next_at is None or now < self.next_at:
@@ -577,9 +547,6 @@
         self.next_at = None
         return True
 
-    def answered(self) -> None:
-        self.failures = 0
-
     def failed(self, now: int) -> int:
         """Of a call, or a watch that broke: when to call next, later each time and spread by chance."""
         self.failures += 1
@@ -652,7 +619,7 @@
 
     def told(self, words: bytes, now: int) -> None:
         """A peer's message: news like the list's."""
-        if self.order and len(words) % self.hearsay.SIZE:
+        if self.order and len(words) % ENDING:
             marks, slots = self.order.told(words, self.placement.slots, now), self.placement.slots
             if marks and marks != [*map(mark, slots)]:
                 caches = [node for node in self.nodes.values() if node.kind != self.origin_kind]
@@ -678,10 +645,9 @@
         if spent or (again and self.spare < 1):
             return (WAIT, None, 0) if out else self.never(req)
         node = self.pick(req, now)
-        if node is None and out:
-            return WAIT, None, 0
         if node is None:
-            return self.hold(req, now, end) if not req.write_outs or self.may_nack(req) else self.never(req)
+            may = not req.write_outs or self.may_nack(req)
+            return (WAIT, None, 0) if out else self.hold(req, now, end) if may else self.never(req)
         self.spare -= again
         until = self.until(req, node, now, end)
         sick = self.sick(node, req.method)
@@ -843,7 +809,7 @@
         )
 
     def never(self, req: Req) -> tuple:
-        """Given up: the answer goes out at once, a nack where that is true."""
+        """Given up: its answer goes out at once, a nack where that is true."""
         return (NACK, None, self.come_back) if self.may_nack(req) else (FAIL, None, 0)
 
     def pick(self, req: Req, now: int) -> Node | None:
@@ -854,7 +820,8 @@
         # The last write-out too: a cache that lacks the key would use it up for nothing.
         if self.origin_kind >= 0 and (req.write or missed or 1 < len(req.write_outs) + 1 == self.most):
             # The rank counts half: it already let the req miss, and turned away here that was for nothing.
-            fit = [node for node in self.origins if self.room.has(node, (1 + req.part) / 2, now, 0, rest)]
+            part = (1 + req.part) / 2
+            fit = [node for node in self.origins if self.room.has(node, part, now, 0, rest)]
             return min(fit, key=lambda node: node.in_flight, default=None)
         slots = self.placement.slots
         if not slots:
--- a/ivystack/drill/wire.py
+++ b/ivystack/drill/wire.py
@@ -75,7 +75,7 @@
         self.calling = False  # a call for the list is out
         self.asking = self.settings.asking if self.settings.sheet.discovery == "ask" else None
         if self.asking:
-            self.asking.begin(now)
+            self.asking.next_at = now
 
     def ask(
         self,
@@ -162,7 +162,7 @@
                 self.asking.failed(now)
             return
         if calling and how != "C":
-            self.asking.answered()
+            self.asking.failures = 0
         nodes = []
         for flavor, name, share, bay, mode, zone, came_up, *_ in entries:
             nodes.append(
--- a/ivystack/net/discovery.py
+++ b/ivystack/net/discovery.py
@@ -96,7 +96,7 @@
         except Exception as fault:  # guards against whatever may come: the watch is begun anew
             logger.error("discovery: a line that can't be used: {}: {}", type(fault).__name__, fault)
             return self.broke("unreadable")
-        self.asking.answered()
+        self.asking.failures = 0
 
     def take(self, listing: dict) -> None:
         generation, whole = int(listing["generation"]), bool(listing.get("reset"))
@@ -120,7 +120,7 @@
         if address == self.address or self.stopped:
             return
         self.address = address
-        self.asking.answered()
+        self.asking.failures = 0
         if self.call is not None or self.body is not None:
             self.broke("moved")
         self.watch()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,6 +4,7 @@
 
 from ivystack.choice import Hearsay, Order, Placement, Room
 from ivystack.model import GO, LEAVING, LEFT, OVERDUE, READY, SATISFIED, Node
+from ivystack.words import ENDING
 
 
 def fleet(count, nodes_each=4):
@@ -97,7 +98,7 @@
         one.hearsay.note(node, False, 0)
         one.hearsay.note(node, True, Hearsay.SOON // 2)  # a good one does not put it off
     said = [r.saying[1] for r in one.wait(Hearsay.SOON)[1] if r.saying]
-    assert len(said) == 1 and len(said[0]) == Hearsay.SIZE * len(one.nodes)
+    assert len(said) == 1 and len(said[0]) == ENDING * len(one.nodes)
 
 
 # Slot orders: a release is under way, most proxies restart.
@@ -170,7 +171,7 @@
     young = choice(nodes(200)[::-1], proxies=2, peers=True, me=1, now=9 * S)
     kept.placement.slots.reverse()
     parts = answer(kept)
-    assert len(parts) == 3 and all(len(part) <= 256 and len(part) % Hearsay.SIZE for part in parts)
+    assert len(parts) == 3 and all(len(part) <= 256 and len(part) % ENDING for part in parts)
     for part in (parts[2], parts[0], parts[0]):
         young.told(part, 9 * S)
     assert orders([young]) != orders([kept])
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -723,6 +723,6 @@
     for mode in ("push", "ask"):
         settings = Settings(1, {"discovery": mode, "rules": {"ask_within": 10 * S * 1000}})
         made.settings.take(settings)
-        made.discovery.asking.answered()
+        made.discovery.asking.failures = 0
         made.discovery.broke("watch-ended")
     assert waits[0] < 400_000 and 750_000 <= waits[1] <= 2_250_000
