--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -305,16 +305,17 @@
     # Of both is left after a slow answer, of such a part of the budget: where a miss is told at once, half is
     # a queue; elsewhere a miss may take that long, so two in a row have to be.
     EBB, SLOW_ASIDE, SLOW = 0.92, 0.5, 0.75
+    LEFT = 0.7  # of an origin's window, when one of its answers has waited longer than it may
     FRESH = 500_000  # what the node itself showed this lately goes before what all show: some answers' time
 
     def __init__(self):
         self.common = 1.0  # of our reqs may go out: a light proxy meets nodes too seldom to go by each
 
-    def has(self, node: Node, part: float, now: int, calm=0.0, rest: float = 1e5) -> bool:
+    def has(self, node: Node, part: float, now: int, calm=0.0, rest: float = 1e5, alone=False) -> bool:
         # Listed at rest is as good: guards a good node against what the rest of the fleet shows.
         rests = node.load <= Live.REST and now < node.load_at + Live.AGE
         heard = (now < node.heard + self.FRESH or rests) and node.window >= 1
-        if (node.share if heard else min(node.share, self.common)) < max(1 - part, calm):
+        if (node.share if heard or alone else min(node.share, self.common)) < max(1 - part, calm):
             return False
         room = part * node.window
         if room < 1:  # below one write-out at a time, one after a rest
@@ -334,6 +335,24 @@
             growth = min(self.GROWTH * node.in_time * node.window, quick / node.window)
             node.window = min(self.MOST, node.window + growth)
 
+    def origin_answered(self, node: Node, spent: int, budget: int, sent: int, now: int) -> None:
+        """Its window goes by the wait there: what an answer took beyond the quickest of the last.
+
+        Guards an origin that all share against proxies that fill its queue until every fetch is too late.
+        """
+        node.times.append(spent)
+        if not self.waited(node, spent, budget):
+            if node.in_flight + 1 >= node.window / 2:
+                node.window = min(self.MOST, node.window + self.QUICK / node.window)
+        elif sent >= node.cut:
+            node.cut = now
+            node.window = max(2.0, min(node.window, node.in_flight + 1) * self.LEFT)
+
+    def waited(self, node: Node, spent: int, budget: int) -> bool:
+        """A whole latency budget beyond the quickest of the last, so that it was too late for its client
+        however long the way; half and three quarters were tried and took too much off a light proxy's."""
+        return spent - min(node.times, default=0) > budget
+
     def told(self, node: Node, well: bool, left: float = FALL_SHARE) -> None:
         node.share = min(1.0, node.share + self.BACK) if well else max(self.CLOSED, node.share * left)
 
@@ -346,9 +365,14 @@
             return
         node.cut = now
         self.told(node, False, self.FALL_ALL if often else self.FALL_SHARE)
-        if up:  # further failures in a row are the node's own
+        if up and not origin:  # further failures in a row are the node's own
             self.strained()
-        node.window = max(self.LEAST, node.window * self.FALL, node.window - self.DROP if origin else 0)
+        if origin and node.failures > 1:  # guards against a jam: a lone one is mostly chance
+            node.window = max(2.0, min(node.window, node.in_flight + 1) / 2)
+        elif origin:
+            node.window = max(2.0, node.window - self.DROP)
+        else:
+            node.window = max(self.LEAST, node.window * self.FALL)
 
 
 class Shares:
@@ -688,6 +712,9 @@
             node.slow = slow
             if spent > method.latency_budget and node.load > Live.REST and now < node.load_at + Live.AGE:
                 self.room.ran_out(node, origin, True, often, write_out.sent, now)
+            elif origin:
+                self.room.told(node, True)
+                self.room.origin_answered(node, spent, method.latency_budget, write_out.sent, now)
             else:  # else it is long work
                 self.room.answered(node, slow and (aside or before and (self.many or not often)))
             if outcome == SATISFIED:
@@ -695,6 +722,8 @@
                 self.shares.answered(req.key)
         elif outcome == OVERDUE and 2 * (write_out.until - write_out.sent) < method.latency_budget:
             pass  # it went out late: not the node's doing, and above all not the origin's after a slow miss
+        elif outcome == OVERDUE and origin and spent < 2 * min(node.times, default=0):
+            pass  # too short a time for the way there: guards an origin that is well, but far or cut off
         elif outcome == OVERDUE and (self.passed_by(write_out) or (often and not node.failures)):
             node.failures += not (write_out.doubted or self.passed_by(write_out))
             node.window = max(min(node.window, 1.0), node.window - self.room.NUDGE)
@@ -821,7 +850,7 @@
         if self.origin_kind >= 0 and (req.write or missed or 1 < len(req.write_outs) + 1 == self.most):
             # The rank counts half: it already let the req miss, and turned away here that was for nothing.
             part = (1 + req.part) / 2
-            fit = [node for node in self.origins if self.room.has(node, part, now, 0, rest)]
+            fit = [node for node in self.origins if self.room.has(node, part, now, 0, rest, True)]
             return min(fit, key=lambda node: node.in_flight, default=None)
         slots = self.placement.slots
         if not slots:
@@ -897,7 +926,7 @@
 
     def passed_by(self, write_out: WriteOut) -> bool:
         """The node, no origin, has answered what went out after this: it is not behind that this is late."""
-        return write_out.sent < write_out.node.proven and write_out.node.kind != self.origin_kind
+        return write_out.sent < write_out.node.proven
 
     def sick(self, node: Node, method: Method) -> Node | Errors | None:
         """What keeps a method's reqs from a node: failures of the node, or its errors to that method."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -446,3 +446,53 @@
     assert (node.window, node.share, room.common) == (5.0, 0.8, 0.8)
     room.ran_out(node, False, True, True, 310, 600)  # sent after that: it is still jammed
     assert (node.window, round(node.share, 2)) == (1.25, 0.64)
+
+
+def aside(**more):
+    """A fleet where misses are told, and its origin."""
+    listed = [*nodes(3), Node("origin", kind=4)]
+    made = choice(listed, origin=4, may_duplicate=False, most_write_outs=2, **more)
+    return made, made.nodes["origin"]
+
+
+def missed(made, now, **more):
+    """A read that a cache has just missed: what is decided of it next."""
+    asked = req(arrived=now, give_up=more.pop("give_up", 3 * S), **more)
+    made.where(asked, now)
+    made.after(asked.write_outs[0], MISSED, now)
+    made.wait(now)
+    return asked, made.where(asked, now)
+
+
+def test_an_origins_window_goes_by_the_wait_there_and_not_by_the_way():
+    made, origin = aside()
+    for place in range(12):  # a long way, and nothing else
+        asked, answer = missed(made, place * S, key=place)
+        made.after(asked.write_outs[1], SATISFIED, place * S + S // 2)
+    assert origin.window == Room.MOST
+    asked, _ = missed(made, 20 * S)
+    made.after(asked.write_outs[1], SATISFIED, 22 * S)  # a budget and a half on top
+    assert origin.window <= 2
+    for place in range(12):
+        asked, _ = missed(made, (30 + place) * S, key=place)
+        made.after(asked.write_outs[1], SATISFIED, (30 + place) * S + S // 2)
+    assert origin.window >= 4
+
+
+def test_time_outs_shorter_than_the_way_to_the_origin_are_not_held_against_it():
+    made, origin = aside()
+    asked, _ = missed(made, 0)
+    made.after(asked.write_outs[1], SATISFIED, S * 9 // 10)
+    write = req(write=True, arrived=S)
+    made.where(write, S)
+    before = origin.window
+    made.after(write.write_outs[0], OVERDUE, S + S * 9 // 10)
+    assert (origin.window, origin.share) == (before, 1)
+
+
+def test_time_outs_of_caches_do_not_close_the_origin():
+    made, _ = aside()
+    made.room.common = 0.02
+    for node in made.nodes.values():
+        node.heard = 0
+    assert missed(made, 100)[1][0] == GO
