A fetch that fills a cache goes on when its client has been answered

Lines: Choice.until ended each at the latency budget. The req itself gets its final answer at once, when it always did: nothing is held. Guards against any slow origin; harm: a place in the window for a copy nobody asks for again.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -667,7 +667,8 @@
         again = bool(req.write_outs) and req.write_outs[-1].outcome not in NEVER_RAN
         spent = now >= end or len(req.write_outs) >= self.most or (out and not self.may_duplicate)
         if spent or (again and self.spare < 1):
-            return (WAIT, None, 0) if out else self.never(req)
+            late = out and now >= end and all(self.fills(w) for w in out)
+            return self.never(req) if late or not out else (WAIT, None, 0)
         node = self.pick(req, now)
         if node is None:
             may = not req.write_outs or self.may_nack(req)
@@ -683,7 +684,9 @@
         node.sent = now
         self.links.idle.pop(node, None)
         self.in_flight += 1
-        if until < end or (self.may_duplicate and self.repeatable(req)):
+        if until > end:  # its client is answered then; the fetch goes on
+            self.later(req, end)
+        elif until < end or (self.may_duplicate and self.repeatable(req)):
             self.later(req, now + self.patience(req.method, end - now, write_out.trial))
         return GO, node, until
 
@@ -793,10 +796,21 @@
 
     def until(self, req: Req, node: Node, now: int, end: int) -> int:
         last = len(req.write_outs) + 1 >= self.most or node.kind == self.origin_kind  # no other is there
+        if self.fills(WriteOut(req, node, now, end)):
+            # Guards the caches while the origin or the way there is slow: given up, a fetch leaves no copy.
+            # Twice what the slowest of the last took: one that was lost would hold a place for nothing.
+            usual = 2 * max(node.times, default=end - now)
+            return max(end, min(now + usual, req.give_up_at - self.MARGIN * self.tick))
         if self.may_duplicate or not self.repeatable(req) or last:
             return end
         return now + self.patience(req.method, end - now)
 
+    def fills(self, write_out: WriteOut) -> bool:
+        """A read at the origin after a cache's miss: its answer is kept there, also when it comes late."""
+        req = write_out.req
+        missed = any(w.outcome == MISSED for w in req.write_outs)
+        return missed and not req.write and write_out.node.kind == self.origin_kind
+
     def later(self, req: Req, at: int) -> None:
         self.count += 1
         heapq.heappush(self.due, (at, self.count, req))
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,6 +6,7 @@
 from ivystack.choice import NEVER_RAN, Placement, Room, digits, draws, spots
 from ivystack.model import (
     DEDUPLICATED,
+    DONE,
     ERRORED,
     FAIL,
     FULL,
@@ -490,6 +491,18 @@
     assert (origin.window, origin.share) == (before, 1)
 
 
+def test_a_fetch_that_fills_a_cache_goes_on_when_its_client_has_been_answered():
+    made, _ = aside(come_back=5)
+    asked, (word, _, until) = missed(made, 0)
+    assert word == GO and until > S  # after the latency budget
+    assert made.wait(S - 1)[1] == []
+    assert made.wait(S)[1] == [asked] and made.where(asked, S) == (NACK, None, 5)  # at once, not at `until`
+    asked.over = True
+    assert made.after(asked.write_outs[1], SATISFIED, S + 1) == ((DONE, None, 0), [])
+    write = req(DEDUPLICATED, write=True, give_up=3 * S, window=9 * S)
+    assert made.where(write, 0)[2] == S  # fills nothing
+
+
 def test_time_outs_of_caches_do_not_close_the_origin():
     made, _ = aside()
     made.room.common = 0.02
