--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -208,6 +208,43 @@
             node.failures, node.trials, node.trial_at = 0, 0, 0
 
 
+# --- The ways to other zones ---
+
+
+class Ways:
+    """Tells zones out of reach from here: a slow or lossy way, or all of a zone's nodes at fault.
+
+    Guards reqs against homes that are well, and content with their own zone's proxies, but can't answer us in
+    time.  Judged as a node is, by bad endings in a row; never so that no zone is left.
+    """
+
+    ROW = 8  # over all of its nodes: far more than chance or one sick node gives
+
+    def __init__(self):
+        self.zones: dict[str, Errors] = {}
+
+    def ended(self, zone: str, well: bool) -> None:
+        one = self.zones.setdefault(zone, Errors())
+        if not well:
+            one.failures += 1
+        elif one.failures >= self.ROW:
+            one.failures = self.ROW - 1  # on trial still
+        else:
+            one.failures, one.trials, one.trial_at = 0, 0, 0
+
+    def far(self, zone: str, now: int) -> bool:
+        one = self.zones.get(zone)
+        bad = one is not None and one.failures >= self.ROW and now < one.trial_at
+        return bad and any(other.failures < self.ROW for other in self.zones.values())
+
+    def sent(self, zone: str, now: int) -> None:
+        """One that went to a far zone is its trial: the next one waits."""
+        one = self.zones.get(zone)
+        if one and one.failures >= self.ROW and now >= one.trial_at:
+            one.trial_at = now + (Health.PAUSE << min(one.trials, 3))
+            one.trials += 1
+
+
 # --- Live weights: where the list lowers a node's size by the reqs that it holds ---
 
 
@@ -597,7 +634,7 @@
         self.rng, self.placement, self.health, self.cold = rng, placement, health, cold
         self.room, self.shares, self.links = room, shares, links
         self.hearsay, self.order, self.live = hearsay, order, live
-        self.popular = Popular()
+        self.popular, self.ways = Popular(), Ways()
         self.many = links.keep > 0  # proxies: what one sees of a node itself is a small part, however often
         self.origin_kind, self.most, self.may_duplicate = origin, most_write_outs, may_duplicate
         self.come_back, self.tick = come_back, tick
@@ -638,6 +675,8 @@
         # Guards the memory: what is known of a node goes with it, once no slot awaits it; ids are ever new.
         kept = {*self.placement.slots, *(n for n in self.nodes.values() if n.state != LEFT or n.in_flight)}
         self.nodes = {name: node for name, node in self.nodes.items() if node in kept}
+        zones = {node.zone for node in self.nodes.values()}
+        self.ways.zones = {zone: one for zone, one in self.ways.zones.items() if zone in zones}
         if self.hearsay:
             self.hearsay.knows([*self.nodes.values()])
 
@@ -682,6 +721,7 @@
         req.write_outs.append(write_out)
         node.in_flight += 1
         node.sent = now
+        self.ways.sent(node.zone, now)
         self.links.idle.pop(node, None)
         self.in_flight += 1
         if until > end:  # its client is answered then; the fetch goes on
@@ -704,6 +744,9 @@
         spent = now - write_out.sent
         often = now < node.heard + self.room.FRESH  # a node met often shows soon whether this was chance
         node.heard = now
+        if outcome in (SATISFIED, MISSED, OVERDUE) and not origin:
+            well = outcome != OVERDUE and spent <= self.room.SLOW_ASIDE * method.latency_budget
+            self.ways.ended(node.zone, well)
         if outcome in (SATISFIED, MISSED):
             for one in {node, node.errors.get(method, node)}:
                 self.health.answered(one, now)
@@ -885,10 +928,12 @@
             warmth = self.cold.warmth(node, now)
             warmth *= 1 if node is turn[0] or warmth == 1 else self.cold.spill
             up = node.state == READY and node not in tried and not self.sick(node, req.method)
+            up = up and not self.ways.far(node.zone, now)
             return up and req.luck < warmth and self.within_group(req, node)
 
         def jammed(node: Node) -> bool:
-            return node.state == READY and not self.health.up(node) and not node.broken
+            down = not self.health.up(node) and not node.broken
+            return node.state == READY and down and not self.ways.far(node.zone, now)
 
         def able(node: Node) -> bool:
             has = self.room.has(node, req.part, now, req.calm, rest)
@@ -908,7 +953,7 @@
             fit = [node for node in homes if able(node)]  # both replicas are out of reach: the spare
         # Guards the keys whose homes are all gone, refuse us or are cold, where half of the fleet is lost at
         # once: the walk goes on, where loads are told.  Never for strain: it would only spread.
-        far = len(slots) if self.live else 0
+        far = len(slots) if self.live or any(self.ways.far(node.zone, now) for node in homes) else 0
         while not fit and len(homes) < far and not any(there(node) or jammed(node) for node in homes):
             homes = self.placement.homes(key, 2 * len(homes))
             fit = [node for node in homes if able(node)]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -25,6 +25,7 @@
     Method,
     Node,
     Req,
+    WriteOut,
 )
 
 PRINTED = [0, 2, 3, 2, 1, 3, 3, 3, 1, 3, 9, 12, 1]  # the paper's expansion of 12345678910, from x_1 on
@@ -503,6 +504,53 @@
     assert made.where(write, 0)[2] == S  # fills nothing
 
 
+def far_zone(made, zones=("b",)):
+    for node in made.nodes.values():
+        for _ in range(9 if node.zone in zones else 0):
+            late = req(arrived=0)
+            write_out = WriteOut(late, node, 0, S)
+            late.write_outs.append(write_out)
+            node.in_flight += 1
+            made.in_flight += 1
+            made.after(write_out, SATISFIED, S * 9 // 10)
+        node.share, node.window = 1, 12
+    made.room.common = 1
+
+
+def test_a_zone_that_answers_late_from_here_is_left_and_tried_again():
+    # Guards against homes that are well but out of reach: the walk goes on to a zone that answers.
+    listed = [Node(f"{zone}{i}", zone=zone) for zone in "ab" for i in range(4)]
+    made = choice(listed)
+    far_zone(made)
+    made.ways.ended("a", True)
+    for zone in made.ways.zones.values():
+        zone.trial_at = 5 * S
+    picked = {made.pick(req(key=key, arrived=S), S).zone for key in range(50)}
+    assert picked == {"a"}
+    there = next(key for key in range(50) if made.placement.homes(key, 2)[0].zone == "b")
+    trials = []
+    for now in range(5 * S, 9 * S, S // 10):
+        asked = req(key=there, arrived=now)
+        trials.append(made.where(asked, now)[1].zone)
+        took = S * 9 // 10 if trials[-1] == "b" else 1000  # told at once, which does no harm here
+        asked.write_outs[0].sent = now - took
+        made.after(asked.write_outs[0], SATISFIED, now)
+    assert 2 <= trials.count("b") <= 6
+    made.ways.ended("b", True)
+    made.ways.ended("b", True)
+    assert not made.ways.far("b", 9 * S)
+    made.listed([node for node in listed if node.zone == "a"], True, 9 * S)
+    made.listed([node for node in listed if node.zone == "a"], True, 99 * S)
+    assert "b" not in made.ways.zones  # what is known of a zone goes with it
+
+
+def test_no_zone_is_left_where_all_answer_late():
+    made = choice([Node(f"{zone}{i}", zone=zone) for zone in "ab" for i in range(4)])
+    far_zone(made, "ab")
+    assert made.ways.zones["a"].failures >= made.ways.ROW
+    assert not made.ways.far("a", 0) and not made.ways.far("b", 0)
+
+
 def test_time_outs_of_caches_do_not_close_the_origin():
     made, _ = aside()
     made.room.common = 0.02
