--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -624,6 +624,9 @@
     SKIP = 2.0  # times the mean in flight a cache: the design page's; 1.5 and 3 were tried
     FURTHER = 0.15  # further write-outs and second copies earned by each satisfied req
     FURTHER_MOST = 20.0  # and kept at most: enough for what a dying node held
+    # Of reads, to their key's first replica: more with each that finds no room at the origin, less with each
+    # that finds some.  Guards an origin that can't bear two copies' fetches.
+    LEAN, LEAN_OFF = 0.05, -0.005
     MARGIN = 2  # ticks that an answer needs to get back to the client in time
 
     def __init__(
@@ -641,7 +644,7 @@
         self.nodes: dict[str, Node] = {}
         self.origins: list[Node] = []
         self.in_flight = self.count = 0
-        self.spare = self.FURTHER_MOST
+        self.spare, self.lean = self.FURTHER_MOST, 0.0
         self.due: list[tuple[int, int, Req]] = []
         self.first: deque[Req] = deque()
         self.further: deque[Req] = deque()
@@ -908,6 +911,8 @@
             # The rank counts half: it already let the req miss, and turned away here that was for nothing.
             part = (1 + req.part) / 2
             fit = [node for node in self.origins if self.room.has(node, part, now, 0, rest, True)]
+            if not req.write:
+                self.lean = min(1.0, max(0.0, self.lean + (self.LEAN_OFF if fit else self.LEAN)))
             return min(fit, key=lambda node: node.in_flight, default=None)
         slots = self.placement.slots
         if not slots:
@@ -919,6 +924,8 @@
         again = (SUPERSEDED,) if self.live else (SUPERSEDED, FULL)  # after these the same node may be asked
         tried = [w.node for w in req.write_outs if w.outcome not in again]
         start = self.rng.randrange(len(replicas))
+        if self.lean and self.rng.random() < self.lean:
+            start = 0
         if self.live and k > self.placement.K:  # by size: guards small ones, a hot key brings each alike
             start = self.rng.choices(range(len(replicas)), [node.weight for node in replicas])[0]
         turn = replicas[start:] + replicas[:start]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -504,6 +504,22 @@
     assert made.where(write, 0)[2] == S  # fills nothing
 
 
+def test_reads_lean_to_the_first_replica_while_the_origin_has_no_room():
+    # Guards an origin that can't bear two copies' fetches; the random pick is back once it can.
+    made, origin = aside()
+    first = made.placement.homes(7, 2)[0]
+    origin.share = 0
+    for place in range(30):
+        missed(made, 9 * S + place, key=place)
+    assert made.lean == 1
+    assert {made.pick(req(arrived=9 * S), 9 * S) for _ in range(20)} == {first}
+    origin.share, origin.window = 1, 1000
+    for place in range(300):
+        missed(made, 10 * S + place, key=place)
+    assert made.lean == 0
+    assert len({made.pick(req(arrived=10 * S), 10 * S) for _ in range(20)}) == 2
+
+
 def far_zone(made, zones=("b",)):
     for node in made.nodes.values():
         for _ in range(9 if node.zone in zones else 0):
