--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -330,7 +330,6 @@
     # Of a small window, an answer, times those in a row: half of them timing out hold it down, as in a jam,
     # not the one in eight that cold keys may bring at any load.
     GROWTH, QUICK = 0.1, 4  # QUICK: times faster, where no share has fallen; 1, 8 and 16 were tried
-    DROP = 2.0  # at most, off the origin's: it has what all caches miss, so chance alone often times one out
     NUDGE = 0.25  # off a cache's that answered what was sent later: a lost connection, or long work, no jam
     FALL = 0.25  # of the window is left after a jam, shown by write-outs that ran out of time; half was tried
     # Of the share of a node met seldom, by own and peers' time-outs: with 0.5 forty proxies, which had seen
@@ -404,10 +403,8 @@
         self.told(node, False, self.FALL_ALL if often else self.FALL_SHARE)
         if up and not origin:  # further failures in a row are the node's own
             self.strained()
-        if origin and node.failures > 1:  # guards against a jam: a lone one is mostly chance
+        if origin:  # of what is in use, which the window may be far above
             node.window = max(2.0, min(node.window, node.in_flight + 1) / 2)
-        elif origin:
-            node.window = max(2.0, node.window - self.DROP)
         else:
             node.window = max(self.LEAST, node.window * self.FALL)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -239,13 +239,19 @@
     assert node.window == before and node.failures == 0
 
 
-def test_chance_time_outs_take_little_off_the_origins_window():
+def test_a_time_out_that_none_passed_halves_what_is_in_use_of_the_origins_window():
+    # Guards against a jam there: two off 64, once a jam, took 22 s to fall to what is answered in time.
     made = choice([*nodes(3), Node("origin", kind=4)], origin=4, may_duplicate=False)
-    asked = req(write=True)
-    origin = made.where(asked, 0)[1]
-    before = origin.window
-    made.after(asked.write_outs[0], OVERDUE, S)
-    assert before - 2 <= origin.window < before
+    writes = [req(write=True, arrived=place) for place in range(20)]
+    for write in writes:
+        origin = made.where(write, write.arrived)[1]
+    made.after(writes[0].write_outs[0], OVERDUE, S)
+    assert origin.window == 10
+    made.after(writes[1].write_outs[0], OVERDUE, S + 1)
+    assert origin.window == 10  # one jam
+    made.after(writes[19].write_outs[0], SATISFIED, S + 2)
+    made.after(writes[18].write_outs[0], OVERDUE, S + 2)
+    assert origin.window > 9  # one that others passed is chance
 
 
 def test_a_time_out_that_later_write_outs_passed_is_no_jam_and_no_failure():
