--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -126,10 +126,8 @@
         self.settle(nodes, now)
 
     def homes(self, key: int, k: int) -> list[Node]:
-        """The key's k replicas in order, and last its spare.
-
-        A greater k leaves replicas where they are, but for the first slots: the same walk, with more digits.
-        """
+        """The key's k replicas in order, and last its spare.  A greater k leaves them there, but for those on
+        the first slots: the same walk, with more digits."""
         nodes = self.known.get((key, k))
         if nodes is None:
             found = draws(key, len(self.slots), self.parts)
@@ -342,6 +340,9 @@
     # a queue; elsewhere a miss may take that long, so two in a row have to be.
     EBB, SLOW_ASIDE, SLOW = 0.92, 0.5, 0.75
     LEFT = 0.7  # of an origin's window, when one of its answers has waited longer than it may
+    # Of a node's share with a hit that took such a part of the budget: work alone does not, so it has queued,
+    # well before any runs out of time.  0.25 to 0.6 of the budget and 0.5 to 0.85 left were tried.
+    SLOW_HIT, FALL_HIT = 0.4, 0.7
     FRESH = 500_000  # what the node itself showed this lately goes before what all show: some answers' time
 
     def __init__(self):
@@ -410,8 +411,7 @@
 
 
 class Shares:
-    """A req's rank among the last, by worth, says how much of a window it may use: under pressure the least
-    worth is turned away first, and only at the nodes that are pressed."""
+    """A req's rank by worth among the last says how much of a window it may use: where it is pressed."""
 
     KEPT = 200  # last reqs to be ranked among: a second or so of a busy proxy's
     LEAST = 0.1  # of a window, for the least worth
@@ -518,11 +518,11 @@
 
     def __init__(self, rng: Random, me: int, proxies: int):
         self.rng, self.others = rng, [peer for peer in range(proxies) if peer != me]
-        self.ended: dict[Node, bool] = {}
+        self.ended: dict[Node, int] = {}  # 0: badly, 1: well, 2: late for a hit
         self.marked: dict[bytes, Node] = {}
         self.next_at: int | None = None
 
-    def note(self, node: Node, well: bool, now: int) -> None:
+    def note(self, node: Node, well: int, now: int) -> None:
         if self.others:
             self.ended[node] = well
             at = now + (self.EVERY // 2 + self.rng.randrange(self.EVERY) if well else self.SOON)
@@ -540,7 +540,7 @@
     def knows(self, nodes: list[Node]) -> None:
         self.marked = {mark(node): node for node in nodes}
 
-    def told(self, words: bytes) -> list[tuple[Node, bool]]:
+    def told(self, words: bytes) -> list[tuple[Node, int]]:
         return [(self.marked[one], well) for one, well in read_endings(words) if one in self.marked]
 
 
@@ -600,10 +600,9 @@
 
     def due(self, now: int) -> bool:
         """Whether to call now; the call then counts as made."""
-        if self.next_at is None or now < self.next_at:
-            return False
-        self.next_at = None
-        return True
+        due = self.next_at is not None and now >= self.next_at
+        self.next_at = None if due else self.next_at
+        return due
 
     def failed(self, now: int) -> int:
         """Of a call, or a watch that broke: when to call next, later each time and spread by chance."""
@@ -683,14 +682,15 @@
     def told(self, words: bytes, now: int) -> None:
         """A peer's message: news like the list's."""
         if self.order and len(words) % ENDING:
-            marks, slots = self.order.told(words, self.placement.slots, now), self.placement.slots
-            if marks and marks != [*map(mark, slots)]:
+            marks = self.order.told(words, self.placement.slots, now)
+            if marks and marks != [*map(mark, self.placement.slots)]:
                 caches = [node for node in self.nodes.values() if node.kind != self.origin_kind]
                 self.placement.adopt(marks, caches, now)
             return
         for node, well in self.hearsay.told(words) if self.hearsay else []:
             often = not self.many and now < node.heard + self.room.FRESH
-            self.room.told(node, well, self.room.FALL_ALL if often else self.room.FALL_SHARE)
+            left = self.room.FALL_ALL if often else self.room.FALL_SHARE
+            self.room.told(node, well == 1, self.room.FALL_HIT if well == 2 else left)
 
     def where(self, req: Req, now: int) -> tuple:
         if req.closing or req.saying:
@@ -710,8 +710,7 @@
             return self.never(req) if late or not out else (WAIT, None, 0)
         node = self.pick(req, now)
         if node is None:
-            may = not req.write_outs or self.may_nack(req)
-            return (WAIT, None, 0) if out else self.hold(req, now, end) if may else self.never(req)
+            return (WAIT, None, 0) if out else self.hold(req, now, end)
         self.spare -= again
         until = self.until(req, node, now, end)
         sick = self.sick(node, req.method)
@@ -730,7 +729,7 @@
             self.later(req, now + self.patience(req.method, end - now, write_out.trial))
         return GO, node, until
 
-    def after(self, write_out: WriteOut, outcome: str, now: int, load=None) -> tuple[tuple, list[WriteOut]]:
+    def after(self, write_out: WriteOut, outcome: str, now: int, load=None, hit: bool = False) -> tuple:
         req = write_out.req
         if outcome == CLIENT_GONE:
             return (DONE, None, 0), [w for w in req.write_outs if w.outcome is None]
@@ -755,12 +754,15 @@
             aside = self.origin_kind not in (-1, node.kind)
             part = self.room.SLOW_ASIDE if aside else self.room.SLOW
             slow, before = spent > part * method.latency_budget, node.slow
+            well = not hit or aside or spent <= self.room.SLOW_HIT * method.latency_budget
             node.slow = slow
             if spent > method.latency_budget and node.load > Live.REST and now < node.load_at + Live.AGE:
                 self.room.ran_out(node, origin, True, often, write_out.sent, now)
             elif origin:
                 self.room.told(node, True)
                 self.room.origin_answered(node, spent, method.latency_budget, write_out.sent, now)
+            elif not well:
+                self.room.told(node, False, self.room.FALL_HIT)
             else:  # else it is long work
                 self.room.answered(node, slow and (aside or before and (self.many or not often)))
             if outcome == SATISFIED:
@@ -792,7 +794,7 @@
             cold = self.cold.warmth(node, now) < 1  # what it turns away counts towards its fall
             self.room.told(node, False, self.room.FALL_SHARE if cold else self.room.FALL_ALL)
         if self.hearsay and outcome not in (RECALLED, SUPERSEDED):
-            self.hearsay.note(node, outcome in (SATISFIED, MISSED), now)
+            self.hearsay.note(node, 0 if outcome not in (SATISFIED, MISSED) else 1 if well else 2, now)
         out = [w for w in req.write_outs if w.outcome is None]
         if outcome in (SATISFIED, UNFIT) or req.over:
             return (DONE if outcome != UNFIT or req.over else FAIL, None, 0), out
@@ -860,8 +862,8 @@
 
     def hold(self, req: Req, now: int, end: int) -> tuple:
         """Nowhere to send it now: look again soon, for a part of its time only; a quick nack costs less."""
-        soon = now + 20_000  # about an answer's time
-        if soon >= req.arrived + (end - req.arrived) // 8:  # what starts later is seldom answered in time
+        soon, last = now + 20_000, req.arrived + (end - req.arrived) // 8  # later ones seldom come in time
+        if soon >= last or (req.write_outs and not self.may_nack(req)):
             return self.never(req)
         self.later(req, soon)
         return WAIT, None, 0
--- a/ivystack/drill/wire.py
+++ b/ivystack/drill/wire.py
@@ -138,7 +138,7 @@
         if last:
             req.over = True
         load = figures(told, self.settings.columns)
-        answer, off = decided(self.choice.after, write_out, ENDINGS[ending], now, load)
+        answer, off = decided(self.choice.after, write_out, ENDINGS[ending], now, load, info == 1)
         self.call_off(req, off)
         self.carry(req, (DONE, None, 0) if req.over else answer)
 
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -23,7 +23,7 @@
 class Sending:
     """One write-out on its way: it waits at a place for a connection, or is out on a link, or has ended."""
 
-    __slots__ = ("write_out", "frame", "upload", "link", "place", "until", "over", "report")
+    __slots__ = ("write_out", "frame", "upload", "link", "place", "until", "over", "report", "hit")
 
     def __init__(self, write_out: WriteOut, frame, upload: Upload | None = None):
         self.write_out, self.frame, self.upload = write_out, frame, upload
@@ -32,6 +32,7 @@
         self.until: list[list] = []  # its deadlines
         self.over = False
         self.report: bytes | None = None  # the node's load, as it came with the answer
+        self.hit = False  # the node told that it had the value
 
     def partial(self) -> bool:
         """Its last byte has not gone out: the node can't have begun it."""
@@ -389,7 +390,7 @@
         if not any(other.over for other in link.out):
             self.deadlines.drop(link.deadline)
         if outcome in (SATISFIED, MISSED):
-            sending.report = value[2]
+            sending.report, sending.hit = value[2], value[1] in ("hit", b"hit")
         if not sending.over:
             if early and outcome in (SATISFIED, MISSED):
                 outcome = ERRORED  # to what it has not seen whole
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -59,7 +59,7 @@
         self.reqs = Slots()
         self.held: dict[Req, Held] = {}
         self.sendings: dict[WriteOut, Sending] = {}
-        self.ends: deque[tuple[WriteOut, str, dict]] = deque()  # outcomes that decisions are still to be told
+        self.ends: deque[tuple[WriteOut, str, dict, bool]] = deque()  # outcomes still to be told
         self.settling = False
         self.alarm: list | None = None
         self.nodes = Nodes(
@@ -362,7 +362,7 @@
         del self.sendings[sending.write_out]
         if outcome == SATISFIED:
             self.answer(sending.write_out.req, SATISFIED, value)
-        self.ends.append((sending.write_out, outcome, self.load(sending.report)))
+        self.ends.append((sending.write_out, outcome, self.load(sending.report), sending.hit))
         self.settle()
 
     def load(self, report) -> dict[str, float]:
@@ -374,10 +374,10 @@
         except (ValueError, AttributeError):  # no JSON, no object
             return {}
 
-    def after(self, write_out: WriteOut, outcome: str, load: dict[str, float]) -> None:
+    def after(self, write_out: WriteOut, outcome: str, load: dict[str, float], hit: bool) -> None:
         req = write_out.req
         try:
-            answer, off = self.choice.after(write_out, outcome, self.now(), load)
+            answer, off = self.choice.after(write_out, outcome, self.now(), load, hit)
         except Exception:
             logger.exception("decisions failed: after")
             answer, off = (FAIL, None, 0), [w for w in req.write_outs if w in self.sendings]
--- a/ivystack/words.py
+++ b/ivystack/words.py
@@ -19,17 +19,17 @@
     return bytes.fromhex(node.name) if node.unnamed else blake2b(node.name.encode(), digest_size=3).digest()
 
 
-def endings(ended: list[tuple[Node, bool]]) -> bytes:
+def endings(ended: list[tuple[Node, int]]) -> bytes:
     return b"".join(mark(node) + bytes([well]) for node, well in ended)
 
 
-def read_endings(words: bytes) -> list[tuple[bytes, bool]]:
+def read_endings(words: bytes) -> list[tuple[bytes, int]]:
     """
     >>> read_endings(b"abc" + bytes([1]) + b"de")
-    [(b'abc', True)]
+    [(b'abc', 1)]
     """
     whole = range(0, len(words) - ENDING + 1, ENDING)
-    return [(words[at : at + ENDING - 1], words[at + ENDING - 1] == 1) for at in whole]
+    return [(words[at : at + ENDING - 1], words[at + ENDING - 1]) for at in whole]
 
 
 def question(me: int) -> bytes:
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -118,3 +118,16 @@
     news = ["MEMBERS", "proxy_0", 0, "D", 2]
     assert play(wire, ["TURN", 99 * S * 1000], news, ["END"]) == [["FINISHED"]]
     assert not wire.instances["proxy_0"].asking.failures
+
+
+def test_a_hit_is_told_to_the_decisions():
+    for info, hit in ((1, True), (2, False), (None, False)):
+        wire, seen = Wire(), []
+        up(wire)
+        play(wire, ["TURN", 2000], ["ASK", "proxy_0", 9, "read", None, 5, 3 * S * 1000], ["END"])
+        choice = wire.instances["proxy_0"].choice
+        after = choice.after
+        choice.after = lambda *values, after=after, seen=seen: seen.append(values[-1]) or after(*values)
+        done = ["FINISHED", "proxy_0", 9, 0, "n1", "completed", 10, True, info, None]
+        play(wire, ["TURN", 3000], done, ["END"])
+        assert seen == [hit]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -209,3 +209,15 @@
     assert orders([young])[0][5] == "n05" and young.placement.slots[4].state == LEFT
     young.listed([], False, 9 * S + Placement.AWAITED)
     assert len(young.placement.slots) == 5
+
+
+def test_a_slow_hit_takes_off_a_nodes_share_and_peers_hear_of_it():
+    # Guards against the jam that time-outs show too late: a hit is work alone, so a slow one has queued.
+    for hit, spent, share in ((True, S // 2, Room.FALL_HIT), (True, S // 3, 1), (False, S // 2, 1)):
+        one, other = fleet(2, 1)
+        asked = req(arrived=0)
+        one.where(asked, 0)
+        one.after(asked.write_outs[0], SATISFIED, spent, None, hit)
+        assert one.placement.slots[0].share == share
+        pass_on([one, other], S)
+        assert other.placement.slots[0].share == share
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -726,3 +726,14 @@
         made.discovery.asking.failures = 0
         made.discovery.broke("watch-ended")
     assert waits[0] < 400_000 and 750_000 <= waits[1] <= 2_250_000
+
+
+def test_a_nodes_word_that_it_had_the_value_reaches_the_decisions():
+    for word, told in ((b"hit", True), (b"miss", False)):
+        made = proxy()
+        seen, after = [], made.choice.after
+        made.choice.after = lambda *values, after=after, seen=seen: seen.append(values[-1]) or after(*values)
+        asked = client(made)
+        asked.dataReceived(get())
+        link(made).dataReceived(b"*3\r\n" + bulk(b"v") + bulk(word) + b"$-1\r\n")
+        assert seen == [told]
