--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -743,9 +743,9 @@
         spent = now - write_out.sent
         often = now < node.heard + self.room.FRESH  # a node met often shows soon whether this was chance
         node.heard = now
-        if outcome in (SATISFIED, MISSED, OVERDUE) and not origin:
-            well = outcome != OVERDUE and spent <= self.room.SLOW_ASIDE * method.latency_budget
-            self.ways.ended(node.zone, well)
+        if outcome in (SATISFIED, MISSED, OVERDUE, REFUSED, SEVERED) and not origin:
+            soon = spent <= self.room.SLOW_ASIDE * method.latency_budget
+            self.ways.ended(node.zone, soon and outcome in (SATISFIED, MISSED))
         if outcome in (SATISFIED, MISSED):
             for one in {node, node.errors.get(method, node)}:
                 self.health.answered(one, now)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -21,6 +21,7 @@
     REFUSED,
     RETRYABLE,
     SATISFIED,
+    SEVERED,
     WAIT,
     Method,
     Node,
@@ -566,6 +567,20 @@
     assert "b" not in made.ways.zones  # what is known of a zone goes with it
 
 
+def test_connections_that_do_not_come_up_count_against_the_way_too():
+    # Guards against a way so slow that no connection comes up in the time that one is given.
+    for outcome in (REFUSED, SEVERED, OVERDUE, FULL):
+        made = choice([Node(f"{zone}{i}", zone=zone) for zone in "ab" for i in range(8)])
+        for node in list(made.nodes.values())[8:]:
+            asked = req(arrived=0)
+            asked.write_outs.append(WriteOut(asked, node, 0, S))
+            node.in_flight += 1
+            made.after(asked.write_outs[0], outcome, S // 4)
+        made.ways.ended("a", True)
+        made.ways.sent("b", S)
+        assert made.ways.far("b", S) == (outcome != FULL)
+
+
 def test_no_zone_is_left_where_all_answer_late():
     made = choice([Node(f"{zone}{i}", zone=zone) for zone in "ab" for i in range(4)])
     far_zone(made, "ab")
