--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -7,8 +7,7 @@
     wait(now)                       -> microseconds until the next thing is due (None: nothing is), and the
                                        reqs due now, in order, for each of which `where` is to be asked
 `listed(nodes, whole, now)` and `told(words, now)` tell news of the list and of peers and answer nothing.
-The types are in model.py; docs/design.md says what comes from the paper, what was changed, and when each
-exception acts.  Times are whole microseconds.
+docs/design.md says what comes from the paper, and when each exception acts.  Times: whole microseconds.
 """
 
 from __future__ import annotations
@@ -336,8 +335,7 @@
     # Of the common share: one in eleven out of time leaves all, one in four a third, one in two a tenth.
     FALL_ALL, BACK_ALL = 0.8, 0.02
     BACK = 0.15  # of a node's share with an answer: one in five out of time leaves all, one in two a third
-    # Of both is left after a slow answer, of such a part of the budget: where a miss is told at once, half is
-    # a queue; elsewhere a miss may take that long, so two in a row have to be.
+    # Of both is left after a slow answer; elsewhere than aside it may be a miss, so two in a row have to be.
     EBB, SLOW_ASIDE, SLOW = 0.92, 0.5, 0.75
     LEFT = 0.7  # of an origin's window, when one of its answers has waited longer than it may
     # Of a node's share with a hit that took such a part of the budget: work alone does not, so it has queued,
@@ -411,7 +409,7 @@
 
 
 class Shares:
-    """A req's rank by worth among the last says how much of a window it may use: where it is pressed."""
+    """A req's rank by worth among the last says how much of a window it may use."""
 
     KEPT = 200  # last reqs to be ranked among: a second or so of a busy proxy's
     LEAST = 0.1  # of a window, for the least worth
@@ -690,7 +688,7 @@
         for node, well in self.hearsay.told(words) if self.hearsay else []:
             often = not self.many and now < node.heard + self.room.FRESH
             left = self.room.FALL_ALL if often else self.room.FALL_SHARE
-            self.room.told(node, well == 1, self.room.FALL_HIT if well == 2 else left)
+            self.room.told(node, well == 1 or often and well == 2, self.room.FALL_HIT if well == 2 else left)
 
     def where(self, req: Req, now: int) -> tuple:
         if req.closing or req.saying:
@@ -743,7 +741,9 @@
         spent = now - write_out.sent
         often = now < node.heard + self.room.FRESH  # a node met often shows soon whether this was chance
         node.heard = now
-        if outcome in (SATISFIED, MISSED, OVERDUE, REFUSED, SEVERED) and not origin:
+        # Not in a small fleet that tells no loads: leaving a zone of it, merely loaded, jams the rest.
+        judged = not origin and (self.many or self.live)
+        if judged and outcome in (SATISFIED, MISSED, OVERDUE, REFUSED, SEVERED):
             soon = spent <= self.room.SLOW_ASIDE * method.latency_budget
             self.ways.ended(node.zone, soon and outcome in (SATISFIED, MISSED))
         if outcome in (SATISFIED, MISSED):
@@ -754,7 +754,8 @@
             aside = self.origin_kind not in (-1, node.kind)
             part = self.room.SLOW_ASIDE if aside else self.room.SLOW
             slow, before = spent > part * method.latency_budget, node.slow
-            well = not hit or aside or spent <= self.room.SLOW_HIT * method.latency_budget
+            late = hit and not aside and spent > self.room.SLOW_HIT * method.latency_budget
+            well = not late or (often and not self.many)  # a busy proxy's windows show its queues
             node.slow = slow
             if spent > method.latency_budget and node.load > Live.REST and now < node.load_at + Live.AGE:
                 self.room.ran_out(node, origin, True, often, write_out.sent, now)
@@ -842,8 +843,8 @@
     def until(self, req: Req, node: Node, now: int, end: int) -> int:
         last = len(req.write_outs) + 1 >= self.most or node.kind == self.origin_kind  # no other is there
         if self.fills(WriteOut(req, node, now, end)):
-            # Guards the caches while the origin or the way there is slow: given up, a fetch leaves no copy.
-            # Twice what the slowest of the last took: one that was lost would hold a place for nothing.
+            # Guards the caches while the origin is slow: given up, a fetch leaves no copy.  Twice what the
+            # slowest of the last took: one that was lost would hold a place for nothing.
             usual = 2 * max(node.times, default=end - now)
             return max(end, min(now + usual, req.give_up_at - self.MARGIN * self.tick))
         if self.may_duplicate or not self.repeatable(req) or last:
@@ -957,8 +958,7 @@
         fit = [node for node in turn if able(node)]
         if not fit:
             fit = [node for node in homes if able(node)]  # both replicas are out of reach: the spare
-        # Guards the keys whose homes are all gone, refuse us or are cold, where half of the fleet is lost at
-        # once: the walk goes on, where loads are told.  Never for strain: it would only spread.
+        # Guards the keys whose homes are all gone, refuse us, are cold or far.  Never for strain: it spreads.
         far = len(slots) if self.live or any(self.ways.far(node.zone, now) for node in homes) else 0
         while not fit and len(homes) < far and not any(there(node) or jammed(node) for node in homes):
             homes = self.placement.homes(key, 2 * len(homes))
