--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -14,12 +14,12 @@
     return [orjson.loads(line) for line in reply.splitlines()]
 
 
-def up(wire, mode="active"):
+def up(wire, mode="active", **config):
     node = ["std", "n1", 1, 0, mode, "z", None]
     return play(
         wire,
         ["TURN", 1000],
-        ["UP", "proxy_0", 7, {"methods": [METHOD], "limits": None, "unheard_of": [1]}],
+        ["UP", "proxy_0", 7, {"methods": [METHOD], "limits": None, "unheard_of": [1], **config}],
         ["REGISTER", 0, [node]],
         ["MEMBERS", "proxy_0", 0, "C", 1],
         ["END"],
@@ -90,24 +90,11 @@
             assert wire.instances["proxy_0"].choice.nodes[reply[0][4]].load == load
 
 
-def asking(wire, discovery="ask", now=1000):
-    config = {"methods": [METHOD], "discovery": discovery, "rules": {"ask_within": 10 * S * 1000}}
-    node = ["std", "n1", 1, 0, "active", "z", None]
-    return play(
-        wire,
-        ["TURN", now],
-        ["UP", "proxy_0", 7, config],
-        ["REGISTER", 0, [node]],
-        ["MEMBERS", "proxy_0", 0, "C", 1],
-        ["END"],
-    )
-
-
 def test_where_the_list_is_asked_for_a_proxy_calls_at_its_start_and_again_after_a_failure():
     # Guards the drain rule: a proxy without a watch is deemed told of drains that it never heard of.
-    assert asking(Wire(), "push") == [["FINISHED"]]
+    assert up(Wire(), discovery="push") == [["FINISHED"]]
     wire = Wire()
-    assert asking(wire)[0] == ["WATCH", "proxy_0", True]
+    assert up(wire, discovery="ask", rules={"ask_within": 10 * S * 1000})[0] == ["WATCH", "proxy_0", True]
     for failed in range(3):  # calls that fail, or later a watch that breaks
         at = (failed + 1) * 10 * S * 1000
         timer, *rest = play(wire, ["TURN", at], ["MEMBERS", "proxy_0", 0, "X", 1], ["END"])
