An origin's times are kept for origins alone, and a fetch is told without a made-up write-out

Found when the change was read again: each of some hundred caches held a deque that only origins use, its length stood in model.py away from the code that chose it, and Choice.until made a WriteOut only to ask about it. Left as it is: Ways sets its trials when one goes out, Health when one fails, so the two are not folded into one.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -338,6 +338,7 @@
     # Of both is left after a slow answer; elsewhere than aside it may be a miss, so two in a row have to be.
     EBB, SLOW_ASIDE, SLOW = 0.92, 0.5, 0.75
     LEFT = 0.7  # of an origin's window, when one of its answers has waited longer than it may
+    TIMES = 12  # its last answers'; with 32 a way that has grown long was taken for a wait for too long
     # Of a node's share with a hit that took such a part of the budget: work alone does not, so it has queued,
     # well before any runs out of time.  0.25 to 0.6 of the budget and 0.5 to 0.85 left were tried.
     SLOW_HIT, FALL_HIT = 0.4, 0.7
@@ -375,7 +376,7 @@
 
         Guards an origin that all share against proxies that fill its queue until every fetch is too late.
         """
-        node.times.append(spent)
+        node.times = (*node.times[1 - self.TIMES :], spent)
         if not self.waited(node, spent, budget):
             if node.in_flight + 1 >= node.window / 2:
                 node.window = min(self.MOST, node.window + self.QUICK / node.window)
@@ -704,7 +705,7 @@
         again = bool(req.write_outs) and req.write_outs[-1].outcome not in NEVER_RAN
         spent = now >= end or len(req.write_outs) >= self.most or (out and not self.may_duplicate)
         if spent or (again and self.spare < 1):
-            late = out and now >= end and all(self.fills(w) for w in out)
+            late = out and now >= end and all(self.fills(req, w.node) for w in out)
             return self.never(req) if late or not out else (WAIT, None, 0)
         node = self.pick(req, now)
         if node is None:
@@ -842,7 +843,7 @@
 
     def until(self, req: Req, node: Node, now: int, end: int) -> int:
         last = len(req.write_outs) + 1 >= self.most or node.kind == self.origin_kind  # no other is there
-        if self.fills(WriteOut(req, node, now, end)):
+        if self.fills(req, node):
             # Guards the caches while the origin is slow: given up, a fetch leaves no copy.  Twice what the
             # slowest of the last took: one that was lost would hold a place for nothing.
             usual = 2 * max(node.times, default=end - now)
@@ -851,11 +852,10 @@
             return end
         return now + self.patience(req.method, end - now)
 
-    def fills(self, write_out: WriteOut) -> bool:
+    def fills(self, req: Req, node: Node) -> bool:
         """A read at the origin after a cache's miss: its answer is kept there, also when it comes late."""
-        req = write_out.req
         missed = any(w.outcome == MISSED for w in req.write_outs)
-        return missed and not req.write and write_out.node.kind == self.origin_kind
+        return missed and not req.write and node.kind == self.origin_kind
 
     def later(self, req: Req, at: int) -> None:
         self.count += 1
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -73,7 +73,7 @@
     slow: bool = False  # the last answer was, for its latency budget
     cut: int = 0  # when the window fell last
     window: float = 0.0  # own write-outs it bears at once
-    times: deque = field(default_factory=lambda: deque(maxlen=12))  # an origin's last answers'
+    times: tuple[int, ...] = ()  # an origin's last answers'
     load: float = 0.0  # reqs that it held a core, as told last
     load_at: int = -1_000_000_000
     share: float = 1.0  # of the reqs that would go there: those of highest rank
