The stand-ins grow out of the tests: nodes, origin and discovery on one reactor

Need: the rig is to run cache nodes, an origin and discovery beside its relays, with one ledger of what came and what was carried out; the tests' own stand-ins were threads that answered each command and kept nothing else. Change: ivystack/standin with a node (cores, waiting room, memory, cold starts, faults on command), an origin that owns writes' effects and recognizes repeats by their mark, a discovery that records who was told what. Ruled out: keeping both kinds, two readings of one protocol. The reader is the program's own (net/resp.py).

--- /dev/null
+++ b/ivystack/standin/ledger.py
@@ -0,0 +1,57 @@
+"""What stand-ins saw and carried out, in order.
+
+Owns the record that checkers read after a run.  It must never judge, or forget a part of it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+DRAINING, GONE, SERVING = "DRAINING", "DELETED", "SERVING"
+
+
+@dataclass(slots=True)
+class Taken:
+    """A command that came whole to a node.  Times are whole microseconds of the rig's clock."""
+
+    at: int
+    node: str
+    proxy: str
+    ident: bytes
+    method: str
+    write: bool
+    cold: bool  # the node had started less than its warm-up ago
+    busy: bool = False  # turned away: it never ran
+
+
+@dataclass(slots=True)
+class Effect:
+    """A write that was carried out."""
+
+    at: int
+    node: str
+    ident: bytes
+    key: bytes
+    mark: bytes
+    method: str
+
+
+@dataclass(slots=True)
+class Told:
+    """Discovery wrote to that proxy's watch what state a node is in."""
+
+    at: int
+    proxy: str
+    node: str
+    state: str
+
+
+@dataclass
+class Ledger:
+    taken: list[Taken] = field(default_factory=list)
+    effects: list[Effect] = field(default_factory=list)
+    dropped: list[Effect] = field(default_factory=list)  # repeats that were recognized by their mark
+    told: list[Told] = field(default_factory=list)
+    calls: dict[str, int] = field(default_factory=dict)  # at discovery, by proxy
+    lines: dict[str, int] = field(default_factory=dict)
+    fetches: int = 0  # at the origin
--- /dev/null
+++ b/ivystack/standin/node.py
@@ -0,0 +1,222 @@
+"""A stand-in for a cache node: cores, a waiting room, memory that starts cold, and faults on command.
+
+Owns its listening socket and what it keeps.  It must never run a write twice by itself, or answer a command
+with what was made for another.
+"""
+
+from __future__ import annotations
+
+import re
+from collections import OrderedDict, deque
+from random import Random
+
+from twisted.internet.protocol import ServerFactory
+
+from ..net.resp import LONGEST, Resp, bulk
+from .ledger import Ledger, Taken
+
+BUSY, FAILED, BAD = b"-BUSY\r\n", b"-ERR failed\r\n", b"-SYNTAX\r\n"
+WAIT = re.compile(rb"(?:^|,)d=(\d+)")
+
+
+class Command:
+    __slots__ = ("link", "place", "key", "ident", "fields", "write", "until", "taken")
+
+    def __init__(self, link: Link, place: list, args: list, now: int):
+        self.link, self.place = link, place
+        self.key, self.ident = args[1], args[2]
+        self.fields = dict(part.partition(b"=")[::2] for part in args[3].split(b","))
+        self.write = args[0].upper() == b"OBJ.SET"
+        wait = WAIT.search(args[3])
+        self.until = now + 1000 * int(wait[1]) if wait else None
+        self.taken: Taken | None = None
+
+
+class Link(Resp):
+    """A proxy's connection; answers go out in the order of the commands."""
+
+    only_arrays = True
+    most = LONGEST
+    value_at = 4
+
+    def __init__(self, node: Node, caller: str):
+        super().__init__()
+        self.node, self.caller = node, caller
+        self.owed: deque[list] = deque()
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.setTcpNoDelay(True)
+        self.node.links[self] = None
+
+    def connectionLost(self, reason) -> None:  # noqa: N802
+        self.node.links.pop(self, None)
+        self.owed.clear()
+
+    def begins(self, size: int):
+        return lambda piece: None
+
+    def malformed(self, why: str) -> None:
+        self.drop(why)
+
+    def received(self, args) -> None:
+        place: list = [None]
+        self.owed.append(place)
+        name = args[0].upper() if args and isinstance(args[0], bytes) else b""
+        if name in (b"OBJ.GET", b"OBJ.SET") and len(args) in (4, 5):
+            self.node.take(Command(self, place, args, self.node.now()))
+        else:
+            place[0] = b"+PONG\r\n" if name == b"PING" else BAD
+        self.flush()
+
+    def flush(self) -> None:
+        while self.owed and self.owed[0][0] is not None:
+            self.transport.write(self.owed.popleft()[0])
+
+
+class Factory(ServerFactory):
+    noisy = False
+
+    def __init__(self, node: Node):
+        self.node = node
+
+    def buildProtocol(self, addr):  # noqa: N802
+        if len(self.node.links) >= self.node.connections:
+            return None
+        return Link(self.node, self.node.names.get(addr.host, addr.host))
+
+
+class Node:
+    """One cache node on loopback.
+
+    `time` is the seconds that a command holds a core (an exponential's mean, or the figure itself where
+    `steady`); `room` commands wait beyond the cores, `memory` keys are kept, for `warm` microseconds after a
+    start it counts as cold.  `names` tells which proxy calls from an address.  `value` answers every read
+    (default: the read's own id, so that a client can tell whose answer it got).
+    """
+
+    def __init__(
+        self, name: str, reactor, now, rng: Random, ledger: Ledger, origin=None, *, zone="", cores=4,
+        time=0.004, steady=False, room=64, memory=100_000, warm=0, connections=1_000, value=None, names=None,
+    ):  # fmt: skip
+        self.name, self.reactor, self.now, self.rng, self.ledger = name, reactor, now, rng, ledger
+        self.origin, self.zone, self.cores, self.time, self.steady = origin, zone, cores, time, steady
+        self.room, self.memory, self.warm, self.connections = room, memory, warm, connections
+        self.value, self.names = value, names or {}
+        self.links: dict[Link, None] = {}
+        self.kept: OrderedDict[bytes, None] = OrderedDict()
+        self.busy = 0
+        self.waiting: deque[Command] = deque()
+        self.life = 0  # what was begun in an earlier one ends in nothing
+        self.started = 0  # long ago
+        self.port = None
+        self.address: tuple[str, int] | None = None
+        self.drains = False
+        # Faults: takes and never answers; slower by a factor; fails so large a part; how answers are spoilt.
+        self.hangs = False
+        self.factor, self.fails, self.spoils = 1.0, 0.0, ""
+        self.ids: list[bytes] = []
+
+    def listen(self, host="127.0.0.1") -> None:
+        at = self.address or (host, 0)
+        self.port = self.reactor.listenTCP(at[1], Factory(self), backlog=512, interface=at[0])
+        self.address = (self.port.getHost().host, self.port.getHost().port)
+
+    def die(self) -> None:
+        """The process ends at once: connections are reset, new ones refused, memory lost."""
+        self.life += 1
+        self.busy = 0
+        self.waiting.clear()
+        self.kept.clear()
+        self.mend()
+        if self.port is not None:
+            self.port.stopListening()
+            self.port = None
+        for link in [*self.links]:
+            link.transport.abortConnection()
+
+    def mend(self) -> None:
+        """Takes all faults back."""
+        self.hangs, self.factor, self.fails, self.spoils, self.drains = False, 1.0, 0.0, "", False
+
+    def back(self) -> None:
+        """Starts again, cold."""
+        self.started = self.now()
+        if self.port is None:
+            self.listen()
+
+    def cold(self) -> bool:
+        return bool(self.started) and self.now() - self.started < self.warm
+
+    # Commands.
+
+    def take(self, command: Command) -> None:
+        method = command.fields.get(b"c", b"").decode("latin-1")
+        self.ids.append(command.ident)
+        command.taken = Taken(
+            self.now(), self.name, command.link.caller, command.ident, method, command.write, self.cold()
+        )
+        self.ledger.taken.append(command.taken)
+        if self.busy < self.cores:
+            self.begin(command)
+        elif len(self.waiting) < self.room:
+            self.waiting.append(command)
+        else:
+            self.turn_away(command)
+
+    def turn_away(self, command: Command) -> None:
+        command.taken.busy = True
+        self.answer(command, BUSY)
+
+    def begin(self, command: Command) -> None:
+        if command.until is not None and self.now() > command.until:
+            return self.turn_away(command)
+        self.busy += 1
+        spent = (self.time if self.steady else self.rng.expovariate(1 / self.time)) if self.time else 0
+        self.reactor.callLater(spent * self.factor, self.through, command, self.life)
+
+    def through(self, command: Command, life: int) -> None:
+        if life != self.life:
+            return
+        self.busy -= 1
+        while self.waiting and self.busy < self.cores:
+            self.begin(self.waiting.popleft())
+        if self.hangs:
+            return
+        if self.fails and self.rng.random() < self.fails:
+            return self.answer(command, FAILED)
+        if self.origin is None:
+            return self.made(command, "hit", life)
+        if not command.write and command.key in self.kept:
+            self.kept.move_to_end(command.key)
+            return self.made(command, "hit", life)
+        if not self.origin.ask(lambda: self.made(command, "miss", life)):
+            self.answer(command, FAILED)
+
+    def made(self, command: Command, how: str, life: int) -> None:
+        """It has been through all it needs.  A write's effect is the origin's and stays, whoever died."""
+        if command.write and self.origin is not None:
+            mark, method = command.fields.get(b"k", b""), command.taken.method
+            self.origin.write(self.name, command.ident, command.key, mark, method)
+        if life != self.life:
+            return
+        if not command.write:
+            self.kept[command.key] = None
+            if len(self.kept) > self.memory:
+                self.kept.popitem(last=False)
+        value = self.value or command.ident
+        self.answer(command, b"*3\r\n" + bulk(value) + bulk(how.encode()) + b"$-1\r\n")
+
+    def answer(self, command: Command, text: bytes) -> None:
+        link = command.link
+        if link not in self.links:
+            return
+        if self.spoils == "twice":
+            text += text
+        elif self.spoils == "noise":
+            text = b"\x00noise\r\n"
+        elif self.spoils == "break":
+            link.transport.write(text[: len(text) // 2])
+            return link.transport.abortConnection()
+        command.place[0] = text
+        link.flush()
+
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,7 +8,7 @@
 import time
 
 import pytest
-from standin import Discovery
+from ivystack.standin.apart import Discovery
 from test_main import call, free_port
 
 METHODS = [
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from helpers import client, get, hit, link, proxy
-from standin import Node
+from ivystack.standin.apart import Node
 from test_net import Reader
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -7,7 +7,7 @@
 import sys
 import time
 
-from standin import Client, Node
+from ivystack.standin.apart import Client, Node
 from test_main import free_port
 
 
--- a/tests/test_upload.py
+++ b/tests/test_upload.py
@@ -6,7 +6,7 @@
 import time
 
 from helpers import S, client, get, hit, link, proxy
-from standin import Node
+from ivystack.standin.apart import Node
 from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
 from twisted.python.failure import Failure
 
