The rig: real proxies on loopback, faults on each link and process, the four rules checked

Need: the operators want to see how many processes behave together when some fail; tests so far started one or two and cut nothing between them. Change: ivystack/rig plays scenarios (TOML, versioned) with 1 to 100 real processes. Every link passes a relay: cut, swallowed, held back, delayed, bounded, reset in a message, half-open, datagrams lost and doubled, each direction on its own. Processes are killed, stopped, slowed, restarted with another directory, their wall clocks moved. Load is open-loop (ivystack/load), drawn ahead, latency from the due time in a library's histogram. Checkers read the record apart from I/O. The command line begins (click): serve, check-config, rig. The proxy without a command loads none. Seen while building: a relay has to accept before it knows whether the process behind would, so what only it accepted counts as refused; a client that repeats a non-retryable command on a kept connection's end runs it twice where the proxy was killed, so the load's clients do not.

--- a/ivystack/__main__.py
+++ b/ivystack/__main__.py
@@ -69,4 +69,8 @@
 
 
 if __name__ == "__main__":
+    if len(sys.argv) > 1:  # a command: its packages are none of the proxy's
+        from .cli import main as commands
+
+        commands(prog_name="ivystack")
     sys.exit(main())
--- /dev/null
+++ b/ivystack/load/clients.py
@@ -0,0 +1,259 @@
+"""Clients that send each req when it is due, whatever became of those before, and try again as clients do.
+
+Owns the connections to proxies and the record of each try.  It must never send less because answers are slow,
+or try a non-retryable req again that may have run.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from random import Random
+
+from hdrh.histogram import HdrHistogram
+from twisted.internet.protocol import ClientFactory
+
+from ..net.resp import LONGEST, Resp, command
+from .arrivals import Arrival
+
+SERVED, NACKED, FAILED, LOST, NEVER, UNSENT = "served", "nacked", "failed", "lost", "never", "unsent"
+
+
+@dataclass(frozen=True, slots=True)
+class Class:
+    """What the load knows of a method.  Times are microseconds."""
+
+    name: str
+    write: bool = False
+    repeats: bool = True  # it may be tried again though it may have run
+    marked: bool = False  # its writes carry a mark
+    budget: int = 500_000  # an answer beyond it is late
+    wait: int = 900_000  # for the answer to one try
+
+
+@dataclass(eq=False, slots=True)
+class Try:
+    """One command that was written to a proxy's connection."""
+
+    number: int  # of the req, common to its tries
+    ident: bytes
+    method: str
+    mark: bytes
+    proxy: str
+    at: int
+    by: int  # when its answer is due
+    answers: list[tuple[int, str, bytes]] = field(default_factory=list)  # when, which, what
+    ended: int | None = None  # its connection ended then, and nothing had come
+    crossed: bool = False  # on a kept connection that ended, it may be before it was read
+
+
+@dataclass(eq=False, slots=True)
+class Asked:
+    """One req of the load, with all its tries."""
+
+    number: int
+    arrival: Arrival
+    due: int
+    method: Class
+    mark: bytes
+    tries: list[Try] = field(default_factory=list)
+    hops: int = 0  # proxies that could not be reached
+    outcome: str = UNSENT
+    ended: int = 0
+    lag: int = 0  # how much later than due it was sent
+
+
+class Link(Resp):
+    """A connection to a proxy, one command at a time."""
+
+    most = LONGEST
+
+    def __init__(self, clients: Clients, proxy: str):
+        super().__init__()
+        self.clients, self.proxy = clients, proxy
+        self.asked: Asked | None = None
+        self.last: Try | None = None
+        self.sent = 0
+        self.here: tuple[str, int] | None = None  # our side's address
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.setTcpNoDelay(True)
+        here = self.transport.getHost()
+        self.here = here.host, here.port
+        self.clients.up(self)
+
+    def received(self, value) -> None:
+        self.clients.answered(self, value)
+
+    def malformed(self, why: str) -> None:
+        self.clients.answered(self, "!" + why)
+        self.drop(why)
+
+    def connectionLost(self, reason) -> None:  # noqa: N802
+        self.clients.lost(self)
+
+
+class Opening(ClientFactory):
+    noisy = False
+
+    def __init__(self, clients: Clients, proxy: str, asked: Asked):
+        self.clients, self.proxy, self.asked = clients, proxy, asked
+
+    def buildProtocol(self, addr):  # noqa: N802
+        link = Link(self.clients, self.proxy)
+        link.asked = self.asked
+        return link
+
+    def clientConnectionFailed(self, connector, reason) -> None:  # noqa: N802
+        self.clients.unreached(self.asked, self.proxy)
+
+
+class Clients:
+    TRIES, HOPS = 4, 3
+    PATIENCE = 2_500_000  # after the req was due nobody tries again
+    AGAIN = 50_000  # before a failed one that may be repeated
+    SPAN = 60_000_000  # the histogram's, in microseconds
+
+    def __init__(
+        self, reactor, now, rng: Random, places: dict[str, tuple[str, int]], classes: list[Class],
+        refused: set | None = None,
+    ):  # fmt: skip
+        """`places` are the proxies' addresses as clients reach them, in the order that arrivals number.
+        `refused` holds our side's address of each connection that only a relay has accepted."""
+        self.reactor, self.now, self.rng = reactor, now, rng
+        self.places, self.names = places, [*places]
+        self.classes = {one.name: one for one in classes}
+        self.refused = refused if refused is not None else set()
+        self.idle: dict[str, deque[Link]] = {name: deque() for name in places}
+        self.reqs: list[Asked] = []
+        self.tries: list[Try] = []
+        self.count = 0
+        self.lag = 0  # the greatest: how far the generator itself fell behind
+        self.shut = False
+        self.times = HdrHistogram(1, self.SPAN, 3)  # of what was served, from when it was due
+
+    # Sending.
+
+    def play(self, arrivals: list[Arrival]) -> None:
+        start = self.now()
+        for number, one in enumerate(arrivals):
+            method = self.classes[one.method]
+            mark = b"m%08d" % number if method.marked else b""
+            self.reqs.append(Asked(number, one, start + one.at, method, mark))
+        self.coming = deque(self.reqs)
+        self.next()
+
+    def next(self) -> None:
+        while self.coming and self.coming[0].due <= self.now():
+            asked = self.coming.popleft()
+            asked.lag = self.now() - asked.due
+            self.lag = max(self.lag, asked.lag)
+            self.send(asked, self.names[asked.arrival.client % len(self.names)])
+        if self.coming:
+            self.reactor.callLater(max(0, self.coming[0].due - self.now()) / 1e6, self.next)
+
+    def send(self, asked: Asked, proxy: str, fresh: bool = False) -> None:
+        idle = self.idle[proxy]
+        if idle and not fresh:
+            return self.write(idle.pop(), asked)
+        host, port = self.places[proxy]
+        self.reactor.connectTCP(host, port, Opening(self, proxy, asked), timeout=0.5)
+
+    def up(self, link: Link) -> None:
+        self.write(link, link.asked)
+
+    def write(self, link: Link, asked: Asked) -> None:
+        method, now = asked.method, self.now()
+        self.count += 1
+        ident = b"%012x" % self.count
+        made = Try(asked.number, ident, method.name, asked.mark, link.proxy, now, now + method.wait)
+        asked.tries.append(made)
+        self.tries.append(made)
+        link.asked, link.last = asked, made
+        link.sent += 1
+        fields = b"c=%b,d=%d" % (method.name.encode(), method.wait // 1000)
+        fields += b",k=%b" % asked.mark if asked.mark else b""
+        fields += b",r=1" if len(asked.tries) > 1 else b""
+        parts = [b"OBJ.SET" if method.write else b"OBJ.GET", asked.arrival.key, ident, fields]
+        link.transport.write(command(*parts, *([b"value of " + ident] if method.write else [])))
+        self.reactor.callLater((method.wait + 1_000_000) / 1e6, self.waited, link, made)
+
+    # What comes of it.
+
+    def answered(self, link: Link, value) -> None:
+        kind = FAILED
+        if isinstance(value, bytes) or isinstance(value, list) and value and isinstance(value[0], bytes):
+            kind = SERVED
+        elif isinstance(value, str) and value.split(" ")[0] == "-BUSY":
+            kind = NACKED
+        text = value if isinstance(value, bytes) else str(value).encode()
+        asked, made = link.asked, link.last
+        if made is not None:
+            made.answers.append((self.now(), kind, text))
+        if asked is None:  # something came that nothing was owed for: the record has it
+            return
+        link.asked = None
+        if not self.shut:
+            self.idle[link.proxy].append(link)
+        self.concluded(asked, made, kind, text)
+
+    def waited(self, link: Link, made: Try) -> None:
+        """A second beyond its time: nobody waits any more."""
+        if link.last is made and link.asked is not None:
+            asked, link.asked = link.asked, None
+            link.transport.abortConnection()
+            self.concluded(asked, made, NEVER, b"")
+
+    def lost(self, link: Link) -> None:
+        if link in self.idle[link.proxy]:
+            self.idle[link.proxy].remove(link)
+        asked, made, link.asked = link.asked, link.last, None
+        if asked is None or made is None:
+            return
+        if link.here in self.refused:
+            self.refused.discard(link.here)
+            asked.tries.remove(made)
+            self.tries.remove(made)
+            return self.unreached(asked, link.proxy)
+        made.ended = self.now()
+        if link.sent > 1 and not any(one.crossed for one in asked.tries):
+            made.crossed = True
+            # A killed proxy's end looks the same, and then it may have run: such a one is let be.
+            if asked.method.repeats:
+                return self.send(asked, link.proxy, True)
+        self.concluded(asked, made, LOST, b"")
+
+    def unreached(self, asked: Asked, proxy: str) -> None:
+        """No connection came up: the next proxy is asked, as a front would do."""
+        asked.hops += 1
+        if asked.hops > self.HOPS or self.now() - asked.due > self.PATIENCE:
+            asked.outcome, asked.ended = (asked.outcome, self.now())
+            return
+        at = (self.names.index(proxy) + self.rng.randrange(1, len(self.names) + 1)) % len(self.names)
+        self.send(asked, self.names[at])
+
+    def concluded(self, asked: Asked, made: Try, kind: str, text: bytes) -> None:
+        now = self.now()
+        asked.outcome, asked.ended = kind, now
+        if kind == SERVED:
+            self.times.record_value(max(1, min(now - asked.due, self.SPAN)))
+            return
+        again = kind == NACKED or asked.method.repeats
+        if not again or len(asked.tries) >= self.TRIES or now - asked.due > self.PATIENCE:
+            return
+        rest = self.AGAIN
+        if kind == NACKED and text[6:].isdigit():
+            rest = 1000 * int(text[6:])
+        rest = int(rest * (1 + self.rng.random()))
+        at = made.proxy if kind == NACKED else self.rng.choice(self.names)
+        self.reactor.callLater(rest / 1e6, self.send, asked, at)
+
+    def close(self) -> None:
+        self.shut = True
+        for links in self.idle.values():
+            for link in [*links]:
+                link.transport.loseConnection()
+
+
+def in_time(asked: Asked) -> bool:
+    return asked.outcome == SERVED and asked.ended - asked.due <= asked.method.budget
--- /dev/null
+++ b/ivystack/rig/check.py
@@ -0,0 +1,205 @@
+"""What must hold, read out of what was recorded: the four rules, histories of duties.
+
+Owns the verdicts.  It does no I/O and must never call a run good for want of a record, or excuse what no
+fault of the scenario explains.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from ..load.clients import NACKED, SERVED, Class, Try
+from ..standin.ledger import SERVING, Ledger
+
+GRACE = 1_000_000  # after it was told, nothing new goes to a node that drains or is gone
+WINDOW = 1_000_000  # over which a cold node's reqs are counted
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    rule: str
+    at: int
+    who: str  # the req, node or duty that it is about
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Excuse:
+    """From `frm` to `to` that proxy (None: each) may leave clients without answers, since a fault keeps it
+    from them; or, where `node` is named, its word and news to and from there may be late."""
+
+    frm: int
+    to: int
+    proxy: str | None = None
+    node: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What the rules go by.  Times are microseconds; `cold`: reqs that a cold node may get in a second."""
+
+    classes: dict[str, Class]
+    slack: int
+    grace: int = GRACE
+    cold: float | None = None
+    end: int | None = None  # tries that are due later are not judged
+
+
+def rules(tries: list[Try], ledger: Ledger, excuses: list[Excuse], terms: Terms) -> list[Breach]:
+    """Every breach of the four rules, in the order of their times."""
+    found = [
+        *one_answer(tries, ledger, excuses, terms),
+        *one_effect(tries, ledger, terms),
+        *nothing_new(ledger, excuses, terms),
+        *cold_nodes(ledger, terms),
+    ]
+    return sorted(found, key=lambda breach: breach.at)
+
+
+def excused(excuses: list[Excuse], proxy: str, frm: int, to: int) -> bool:
+    return any(
+        one.node is None and one.proxy in (None, proxy) and one.frm <= to and frm <= one.to for one in excuses
+    )
+
+
+def one_answer(tries: list[Try], ledger: Ledger, excuses: list[Excuse], terms: Terms) -> list[Breach]:
+    """Rule 1: each accepted req gets exactly one final answer in time, nothing after it.
+
+    One that crossed the end of a kept connection was not accepted, unless a node had it from that proxy.
+    """
+    found, reached = [], {(taken.proxy, taken.ident) for taken in ledger.taken}
+    for one in tries:
+        name, late = one.ident.decode(), one.by + terms.slack
+        if terms.end is not None and one.by > terms.end:
+            continue
+        if len(one.answers) > 1:
+            when, _, text = one.answers[1]
+            found.append(Breach("one answer", when, name, f"{one.proxy} answered again: {text[:40]!r}"))
+        unread = one.crossed and (one.proxy, one.ident) not in reached
+        if not one.answers and not unread and not excused(excuses, one.proxy, one.at, late):
+            how = "its connection ended" if one.ended is not None else "never came"
+            found.append(Breach("one answer", one.ended or late, name, f"{one.proxy}: no answer, {how}"))
+        for when, kind, text in one.answers[:1]:
+            if when > late and not excused(excuses, one.proxy, one.at, when):
+                found.append(
+                    Breach("one answer", when, name, f"{one.proxy}: {(when - one.by) // 1000} ms late")
+                )
+            if kind == SERVED and one.ident not in text:
+                words = f"{one.proxy}: another's answer, {text[:40]!r}"
+                found.append(Breach("one answer", when, name, words))
+    return found
+
+
+def one_effect(tries: list[Try], ledger: Ledger, terms: Terms) -> list[Breach]:
+    """Rule 2: no effect twice; nothing nacked that may have run."""
+    found, runs, outs = [], defaultdict(list), defaultdict(list)
+    by_mark = defaultdict(list)
+    for effect in ledger.effects:
+        runs[effect.ident].append(effect)
+        if effect.mark:
+            by_mark[effect.method, effect.mark].append(effect)
+    for taken in ledger.taken:
+        if not taken.busy:
+            outs[taken.ident].append(taken)
+    for (_, mark), effects in by_mark.items():
+        if len(effects) > 1:
+            text = f"carried out {len(effects)} times, at {', '.join(e.node for e in effects)}"
+            found.append(Breach("no effect twice", effects[1].at, mark.decode(), text))
+    sent = defaultdict(list)
+    for one in tries:
+        sent[one.ident].append(one)
+    for ident, of in sent.items():
+        one, name = of[0], ident.decode()
+        method = terms.classes[one.method]
+        if method.repeats:
+            continue
+        if len(outs[ident]) > 1:
+            text = f"written out {len(outs[ident])} times, to {', '.join(t.node for t in outs[ident])}"
+            found.append(Breach("no effect twice", outs[ident][1].at, name, text))
+        nacks = [when for answered in of for when, kind, _ in answered.answers if kind == NACKED]
+        if nacks and outs[ident]:
+            text = f"nacked by {one.proxy}, though {outs[ident][0].node} had taken it"
+            found.append(Breach("no effect twice", nacks[0], name, text))
+        if len(runs[ident]) > 1 and len(outs[ident]) < 2:
+            found.append(Breach("no effect twice", runs[ident][1].at, name, "carried out twice"))
+    return found
+
+
+def nothing_new(ledger: Ledger, excuses: list[Excuse], terms: Terms) -> list[Breach]:
+    """Rule 3: nothing new to a node that drains or is gone, after the grace."""
+    found, states = [], defaultdict(list)
+    for told in ledger.told:
+        states[told.proxy, told.node].append(told)
+    for taken in ledger.taken:
+        last = None
+        for told in states[taken.proxy, taken.node]:
+            if told.at <= taken.at:
+                last = told if told.state != SERVING and (last is None or last.state == SERVING) else last
+                last = None if told.state == SERVING else last
+        if last is None or taken.at <= last.at + terms.grace + terms.slack // 10:
+            continue
+        late = any(
+            one.frm <= taken.at and last.at <= one.to and one.proxy in (None, taken.proxy)
+            and one.node in (None, taken.node, "discovery") for one in excuses
+        )  # fmt: skip
+        if not late:
+            ms = (taken.at - last.at) // 1000
+            text = f"{taken.proxy} sent there {ms} ms after it was told {last.state}"
+            found.append(Breach("nothing new to a draining node", taken.at, taken.node, text))
+    return found
+
+
+def cold_nodes(ledger: Ledger, terms: Terms) -> list[Breach]:
+    """Rule 4: a cold node is never pushed over."""
+    if terms.cold is None:
+        return []
+    found, by_node = [], defaultdict(list)
+    for taken in ledger.taken:
+        if taken.cold and not taken.busy:
+            by_node[taken.node].append(taken.at)
+    for node, times in by_node.items():
+        first = 0
+        for last, at in enumerate(times):
+            while times[first] <= at - WINDOW:
+                first += 1
+            if last - first + 1 > terms.cold:
+                text = f"{last - first + 1} reqs within a second while cold, {terms.cold:.0f} are its bound"
+                found.append(Breach("a cold node is not pushed over", at, node, text))
+                break
+    return found
+
+
+# --- Duties ---
+
+
+@dataclass(frozen=True, slots=True)
+class Act:
+    """A receiver was asked to take an act under a duty's token, and took it or not."""
+
+    at: int
+    duty: str
+    holder: str
+    token: int
+    receiver: str
+    taken: bool
+
+
+def duties(acts: list[Act]) -> list[Breach]:
+    """No token has two holders, and no receiver takes an act of an older token than it has taken before."""
+    found: list[Breach] = []
+    holders: dict[tuple[str, int], str] = {}
+    highest: dict[tuple[str, str], int] = {}
+    for act in sorted(acts, key=lambda act: act.at):
+        if not act.taken:
+            continue
+        holder = holders.setdefault((act.duty, act.token), act.holder)
+        if holder != act.holder:
+            text = f"{act.holder} and {holder} both act under token {act.token}"
+            found.append(Breach("one holder", act.at, act.duty, text))
+        before = highest.get((act.duty, act.receiver), 0)
+        if act.token < before:
+            text = f"{act.receiver} took an act of token {act.token} by {act.holder} after one of {before}"
+            found.append(Breach("fencing", act.at, act.duty, text))
+        highest[act.duty, act.receiver] = max(before, act.token)
+    return found
--- /dev/null
+++ b/ivystack/rig/command.py
@@ -0,0 +1,150 @@
+"""`ivystack rig`: list, play, random, logs.
+
+Owns these commands' words and exit codes: 0 it holds, 1 a breach, 2 a file or a word that can't be used.
+"""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import click
+
+from . import draw, scenario
+from .scenario import Scenario, ScenarioError
+
+
+@click.group()
+def rig() -> None:
+    """Several real processes of the program on loopback, and faults between them."""
+
+
+@rig.command("list")
+def names() -> None:
+    """The scenarios that come with the program."""
+    for name in scenario.own():
+        made = scenario.load(name)
+        click.echo(f"{name:22} {made.fleet.proxies:3d} proxies {made.seconds:5g} s  {made.about}")
+
+
+def options(command):
+    for option in (
+        click.option("--keep", type=click.Path(path_type=Path), help="Keep logs and records in this folder."),
+        click.option("--plot", "picture", type=click.Path(path_type=Path), help="Draw the run to this PNG."),
+        click.option(
+            "--program", type=click.Path(exists=True, file_okay=False, path_type=Path),
+            help="The folder that holds the package to run, another version for instance.",
+        ),
+        click.option("--quiet", is_flag=True, help="The verdict alone."),
+    ):
+        command = option(command)
+    return command
+
+
+@rig.command("play")
+@click.argument("name")
+@click.option("--seed", type=int, help="Another order of chances than the file's.")
+@click.option("--seconds", type=float, help="Another length of the load.")
+@options
+def play(name, seed, seconds, **how) -> None:
+    """Play the scenario NAME, one of `rig list` or a file."""
+    try:
+        made = scenario.load(name)
+    except ScenarioError as fault:
+        click.echo(str(fault), err=True)
+        sys.exit(2)
+    if seed is not None:
+        made.seed = seed
+    if seconds is not None:
+        made.seconds = seconds
+    sys.exit(played([made], **how))
+
+
+@rig.command("random")
+@click.option("--seed", type=int, required=True, help="The first scenario's seed.")
+@click.option("--seconds", type=click.FloatRange(4, 600), default=10.0, show_default=True)
+@click.option("--proxies", type=click.IntRange(2, 100), default=4, show_default=True)
+@click.option("--nodes", type=click.IntRange(2, 100), default=5, show_default=True)
+@click.option("--group", type=click.Choice(["0", "3", "5", "7"]), default="0", show_default=True)
+@click.option("--runs", type=click.IntRange(1, 1000), default=1, show_default=True, help="Seeds from it on.")
+@click.option("--show", is_flag=True, help="Print the drawn scenario as a file instead of playing it.")
+@options
+def random(seed, seconds, proxies, nodes, group, runs, show, **how) -> None:
+    """Play scenarios whose faults are drawn by chance."""
+    made = [draw.scenario(seed + n, seconds, proxies, nodes, int(group)) for n in range(runs)]
+    if show:
+        click.echo("\n".join(map(scenario.written, made)), nl=False)
+        return
+    sys.exit(played(made, **how))
+
+
+@rig.command("logs")
+@click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+def logs(folder) -> None:
+    """Every log of a kept run, in the order of time."""
+    from .logs import merged
+
+    for line in merged(folder):
+        click.echo(line)
+
+
+def played(
+    scenarios: list[Scenario], keep: Path | None, picture: Path | None, program: Path | None, quiet: bool
+) -> int:
+    """Plays one after the other on the reactor; the exit code."""
+    from twisted.internet import defer, reactor
+    from twisted.python.log import startLoggingWithObserver
+
+    from .account import account, plot
+    from .play import Rig, kept
+
+    code = 0
+    troubles: list[str] = []
+
+    def trouble(event: dict) -> None:
+        if event.get("isError"):
+            failure = event.get("failure")
+            troubles.append(failure.getTraceback() if failure else str(event.get("message")))
+
+    startLoggingWithObserver(trouble, setStdout=False)
+
+    async def one(made: Scenario, folder: Path) -> None:
+        nonlocal code
+        began = time.monotonic()
+        rig = Rig(made, folder, reactor, (lambda line: None) if quiet else click.echo, program)
+        record = await rig.play()
+        kept(record, folder)
+        (folder / "scenario.toml").write_text(scenario.written(made))
+        if not quiet or record.breaches:
+            click.echo(account(record))
+        if picture is not None:
+            plot(record, picture)
+        verdict = "HOLDS" if not record.breaches else "BREACH"
+        click.echo(f"{verdict} {made.name} seed {made.seed} ({time.monotonic() - began:.0f} s)")
+        code = max(code, 1 if record.breaches else 0)
+
+    async def every() -> None:
+        nonlocal code
+        try:
+            for made in scenarios:
+                if keep is not None:
+                    folder = keep if len(scenarios) == 1 else keep / f"{made.name}"
+                    folder.mkdir(parents=True, exist_ok=True)
+                    await one(made, folder)
+                else:
+                    with tempfile.TemporaryDirectory(prefix="ivystack-rig-") as folder:
+                        await one(made, Path(folder))
+        except (RuntimeError, OSError) as fault:
+            click.echo(f"the rig could not play: {fault}", err=True)
+            code = 2
+        finally:
+            reactor.stop()
+
+    reactor.callWhenRunning(lambda: defer.ensureDeferred(every()).addErrback(lambda f: f.printTraceback()))
+    reactor.run()
+    if troubles:  # the rig's own: no verdict can be trusted
+        click.echo(f"the rig failed {len(troubles)} times, first:\n{troubles[0]}", err=True)
+        return 2
+    return code
--- /dev/null
+++ b/ivystack/rig/draw.py
@@ -0,0 +1,72 @@
+"""Scenarios with faults drawn by chance.
+
+Owns the draw: one seed, one scenario.  It must never draw what no fleet can bear: some of all stay.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from .scenario import Fault, Fleet, Hold, Load, Scenario
+
+SHORT = 0.4, 2.5  # seconds that a drawn fault lasts
+
+
+def scenario(seed: int, seconds: float, proxies: int = 4, nodes: int = 5, group: int = 0) -> Scenario:
+    """Between one and two faults each second, all of them taken back before the last three seconds.
+
+    At most a third of the proxies is killed or stopped at any moment, and half of the nodes is out.
+    """
+    rng = Random(seed)
+    faults: list[Fault] = []
+    last = max(0.5, seconds - 3.0)
+    out: dict[str, list[tuple[float, float, str]]] = {"p": [], "n": []}
+
+    def may(kind: str, name: str, frm: float, to: float) -> bool:
+        """Whether that many are out at once, and this one is not already."""
+        most = max(1, proxies // 3) if kind == "p" else max(1, nodes // 2)
+        at_once = {one for a, b, one in out[kind] if a < to + 1.0 and frm < b + 1.0}
+        return name not in at_once and len(at_once) < most
+
+    count = rng.randint(max(1, int(seconds) - 3), max(1, 2 * int(seconds) - 5))
+    for _ in range(count):
+        at = round(rng.uniform(0.3, last), 2)
+        span = round(min(rng.uniform(*SHORT), max(0.1, last + 0.5 - at)), 2)
+        kind = rng.choice(
+            ["kill", "stop", "slow", "restart", "clock", "node-die", "node-hang", "node-slow", "node-fail",
+             "node-drain", "node-spoil", "origin-slow", "cut", "hole", "freeze", "delay", "loss", "twice",
+             "rate", "reset", "half-open", "list-silent", "list-refuses"]
+        )  # fmt: skip
+        fault = Fault(at=at, kind=kind, span=span)
+        proxy, node = f"p{rng.randrange(proxies)}", f"n{rng.randrange(nodes)}"
+        if kind in ("kill", "stop", "slow", "restart", "clock"):
+            if kind != "clock" and not may("p", proxy, at, at + span):
+                continue
+            out["p"].append((at, at + span, proxy))
+            fault.who, fault.duty = [proxy], round(rng.uniform(0.1, 0.6), 2)
+            fault.hours = rng.choice([-30.0, -2.0, 3.0, 1000.0])
+            if kind in ("kill", "restart"):
+                fault.directory = rng.choice(["kept", "kept", "gone", "old"])
+        elif kind.startswith("node"):
+            if not may("n", node, at, at + span):
+                continue
+            out["n"].append((at, at + span, node))
+            fault.who, fault.factor = [node], round(rng.uniform(3, 30), 1)
+            fault.part, fault.how = round(rng.uniform(0.2, 1), 2), rng.choice(["twice", "noise", "break"])
+        elif kind == "origin-slow":
+            fault.factor = round(rng.uniform(2, 6), 1)
+        elif not kind.startswith("list"):
+            ends = [proxy, rng.choice([node, "discovery", "clients", f"p{rng.randrange(proxies)}"])]
+            fault.between, fault.way = ends, rng.choice(["both", "there", "back"])
+            fault.part, fault.bytes = round(rng.uniform(0.1, 0.9), 2), rng.choice([0, 20, 300, 5000])
+            if kind == "rate":
+                fault.bytes = rng.choice([2000, 20_000])
+            fault.ms, fault.jitter_ms = rng.choice([5.0, 30.0, 120.0]), rng.choice([0.0, 20.0, 100.0])
+            fault.flap = rng.choice([0.0, 0.0, 0.3]) if kind in ("cut", "hole", "freeze") else 0.0
+        faults.append(fault)
+    faults.sort(key=lambda fault: fault.at)
+    return Scenario(
+        version=1, name=f"random-{seed}", about="faults drawn by chance", seconds=seconds, seed=seed,
+        fleet=Fleet(proxies=proxies, nodes=nodes, zones=rng.choice([1, 2]), group=group),
+        load=Load(rate=80.0, shape=rng.choice(["poisson", "surge"])), fault=faults, hold=Hold(),
+    )  # fmt: skip
