Links between proxies: signed, lasting, bounded, switched on by the operators' file

Change: ivystack/mesh keeps links from each proxy to the members of the consensus group (Int32StringReceiver, msgspec). Each message carries a keyed BLAKE2b over both sides' nonces, its direction and place; a key file holds up to two keys. SIGHUP takes keys anew. The rig writes a fleet's files and puts its relays on these links; mesh.toml cuts, swallows and half-opens them. Ruled out: a digest over the message alone (it could be played again), links of all to all. Seen: the rig's half-open reset both sides at once, since a change of links took its mark for lost bytes; mended. Without LB_FLEET nothing is loaded.

--- a/ivystack/__main__.py
+++ b/ivystack/__main__.py
@@ -20,6 +20,11 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         run = load(os.environ)
+        path, fleet = os.environ.get("LB_FLEET"), None
+        if path:  # else nothing of it is loaded
+            from .fleet.settings import load as load_fleet
+
+            fleet = load_fleet(path, run.name)
     except FaultError as fault:
         print(fault, file=sys.stderr)
         return 2
@@ -32,17 +37,24 @@
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", diagnose=False)
     startLoggingWithObserver(tell, setStdout=False)
     proxy = Proxy(run, reactor)
+    together = None
+    if fleet is not None:
+        from .fleet.run import Together
+
+        together = Together(proxy, path, fleet)
     for name in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(name, lambda *_: reactor.callFromThread(proxy.terminate))
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, proxy))
-    reactor.callWhenRunning(start, proxy, reactor)
+        signal.signal(name, lambda *_: reactor.callFromThread(end, proxy, together))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, proxy, together))
+    reactor.callWhenRunning(start, proxy, reactor, together)
     reactor.run(installSignalHandlers=False)
     return 0 if proxy.started else 1
 
 
-def start(proxy, reactor) -> None:
+def start(proxy, reactor, together=None) -> None:
     try:
         proxy.start()
+        if together is not None:
+            together.start()
     except Exception as fault:
         logger.error("could not start: {}", fault)
         reactor.stop()
@@ -51,7 +63,14 @@
     gc.set_threshold(10_000, 20, 20)  # reqs leave few rings; each 700 objects is many rounds a second
 
 
-def reload(proxy) -> None:
+def end(proxy, together=None) -> None:
+    """SIGTERM: what others wait for is handed on first."""
+    if together is not None:
+        together.hand_on()
+    proxy.terminate()
+
+
+def reload(proxy, together=None) -> None:
     """SIGHUP: the configuration is read again; one with a fault is told and the old one stays."""
     try:
         run = load(os.environ, proxy.run)
@@ -59,6 +78,8 @@
         logger.error("configuration not taken: {}", fault)
     else:
         proxy.reload(run)
+    if together is not None:
+        together.reload()
 
 
 def tell(event: dict) -> None:
--- a/ivystack/cli.py
+++ b/ivystack/cli.py
@@ -24,21 +24,28 @@
 
 @main.command()
 @click.option("--config", type=click.Path(), help="The configuration; LB_CONFIG where it is not given.")
-def serve(config) -> None:
+@click.option("--fleet", type=click.Path(), help="The operators' file of the fleet; LB_FLEET if not given.")
+def serve(config, fleet) -> None:
     """Serve clients, as without a command."""
     from .__main__ import main as serves
 
     if config:
         os.environ["LB_CONFIG"] = config
+    if fleet:
+        os.environ["LB_FLEET"] = fleet
     sys.exit(serves())
 
 
 @main.command("check-config")
 @click.argument("config", type=click.Path(), required=False)
-def check_config(config) -> None:
+@click.option("--fleet", type=click.Path(), help="The operators' file of the fleet, checked too, or alone.")
+def check_config(config, fleet) -> None:
     """Read the configuration (default: what LB_CONFIG names) and say what is wrong with it."""
     from .settings import load
 
+    bad = fleet is not None and not check_fleet(fleet)
+    if fleet is not None and not config and not os.environ.get("LB_CONFIG"):
+        sys.exit(2 if bad else 0)
     try:
         run = load({**os.environ, **({"LB_CONFIG": config} if config else {})})
     except FaultError as fault:
@@ -46,6 +53,64 @@
         sys.exit(2)
     classes = len(run.settings.methods)
     click.echo(f"good: name={run.name} listen={run.listen[0]}:{run.listen[1]} classes={classes}")
+    sys.exit(2 if bad else 0)
+
+
+def check_fleet(path: str) -> bool:
+    """Whether the operators' file can be used; all its faults are told, a line each."""
+    from pathlib import Path
+
+    from .fleet.settings import faults
+
+    try:
+        found, sheet, _ = faults(Path(path).read_text(), Path(path).parent)
+    except (OSError, UnicodeDecodeError) as fault:
+        found, sheet = [getattr(fault, "strerror", None) or "no plain text"], None
+    for line in found:
+        click.echo(f"{path}: {line}", err=True)
+    if not found:
+        click.echo(f"good: a group of {len(sheet.group.member)}")
+    return not found
+
+
+@main.group()
+def fleet() -> None:
+    """What the proxies of a fleet do together."""
+
+
+@fleet.command("key")
+@click.argument("path", type=click.Path())
+@click.option("--id", "ident", default="k1", show_default=True, help="Its name in logs.")
+def key(path, ident) -> None:
+    """Write a new key file; never over one that is there."""
+    from .mesh.keys import write
+
+    try:
+        write(path, ident)
+    except OSError as fault:
+        click.echo(f"{path}: {fault.strerror}", err=True)
+        sys.exit(2)
+
+
+@fleet.command("status")
+@click.argument("admin")
+def status(admin) -> None:
+    """How things stand at the proxy whose operators' address is ADMIN, as JSON."""
+    import json
+    from http.client import HTTPConnection, HTTPException
+
+    try:
+        caller = HTTPConnection(admin, timeout=5)
+        caller.request("GET", "/_fleet")
+        answer = caller.getresponse()
+        text = answer.read()
+    except (OSError, HTTPException) as fault:
+        click.echo(f"{admin}: {fault}", err=True)
+        sys.exit(1)
+    if answer.status != 200:
+        click.echo(f"{admin}: {answer.status}: the fleet's parts are off there", err=True)
+        sys.exit(1)
+    click.echo(json.dumps(json.loads(text), indent=1))
 
 
 main.add_command(rig)
--- /dev/null
+++ b/ivystack/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Lasting links between proxies: signed, bounded, and needed by no req."""
--- a/ivystack/rig/play.py
+++ b/ivystack/rig/play.py
@@ -15,9 +15,11 @@
 import orjson
 from twisted.internet import defer
 from twisted.internet.protocol import ClientFactory
+from twisted.web.client import Agent, readBody
 
 from ..load.arrivals import drawn
 from ..load.clients import Class, Clients, in_time
+from ..mesh.keys import write
 from ..net.resp import Resp, command
 from ..standin.discovery import Discovery
 from ..standin.ledger import DRAINING, GONE, SERVING, Ledger
@@ -101,6 +103,7 @@
     held: list[tuple[int, int, str, str, int]] = field(default_factory=list)  # from, to, duty, proxy, token
     processes: list[Process] = field(default_factory=list)
     breaches: list[Breach] = field(default_factory=list)
+    fleet: dict[str, dict] = field(default_factory=dict)  # what each proxy told of it at the end
     times: object = None  # the histogram of what was served
 
 
@@ -188,9 +191,13 @@
         if fleet.peers:
             self.talks = {one: (hosts[one], free(hosts[one], socket.SOCK_DGRAM)) for one in proxies}
             self.posts = {one: hub.post(one, self.talks[one]) for one in proxies}
+        self.admins = {one: (hosts[one], free(hosts[one])) for one in proxies}
+        if fleet.group:
+            self.fleet_files(hosts)
         self.processes = {
-            one: Process(one, self.folder / one, self.reactor, self.now) for one in proxies
-        }  # fmt: skip
+            one: Process(one, self.folder / one, self.reactor, self.now, environ=self.environ(one))
+            for one in proxies
+        }
         for process in self.processes.values():
             process.program = self.program or process.program
         self.record.processes = [*self.processes.values()]
@@ -204,6 +211,24 @@
             {one.name: getattr(self.scenario.load, one.name) for one in CLASSES}, fleet.proxies,
         )  # fmt: skip
 
+    def environ(self, name: str) -> dict[str, str]:
+        return {"LB_FLEET": str(self.folder / f"{name}.fleet.toml")} if self.scenario.fleet.group else {}
+
+    def fleet_files(self, hosts: dict[str, str]) -> None:
+        """The operators' file for each proxy, with each member where that one reaches it."""
+        members = [*hosts][: self.scenario.fleet.group]
+        meshes = {one: (hosts[one], free(hosts[one])) for one in members}
+        # A relay's listener has its process's own address, by which a member is known.
+        doors = {one: self.hub.door(None, one, meshes[one], hosts[one]) for one in members}
+        (self.folder / "fleet.key").unlink(missing_ok=True)
+        write(self.folder / "fleet.key", "k1")
+        for name in hosts:
+            lines = ["version = 1", 'key_file = "fleet.key"', f'directory = "{self.folder}/{{name}}/state"']
+            for one in members:
+                host, port = (meshes if one == name else doors)[one]
+                lines += ["[[group.member]]", f'name = "{one}"', f'address = "{host}:{port}"']
+            (self.folder / f"{name}.fleet.toml").write_text("\n".join(lines) + "\n")
+
     def place_of_node(self, caller: str, node: Node) -> str:
         return "{}:{}".format(*self.to_nodes[caller, node.name])
 
@@ -212,7 +237,8 @@
         made = {
             "name": name, "listen": "{}:{}".format(*self.listens[name]),
             "discovery": "{}:{}".format(*self.to_discovery[name]), "seed": f"{self.rng.getrandbits(32):08x}",
-            "settings": settings(self.scenario, number), "limits": {"sockets": 1024, "memory_mb": 192},
+            "admin_addr": "{}:{}".format(*self.admins[name]), "settings": settings(self.scenario, number),
+            "limits": {"sockets": 1024, "memory_mb": 192},
         }  # fmt: skip
         if self.posts:
             made["peer_listen"] = "{}:{}".format(*self.talks[name])
@@ -277,6 +303,18 @@
         self.heal()
         await self.wait(scenario.settle + max(one.wait for one in CLASSES) / US)
         record.end = self.now()
+        if scenario.fleet.group:
+            for name in self.processes:
+                record.fleet[name] = await self.fleet_of(name)
+
+    async def fleet_of(self, name: str) -> dict:
+        """What that proxy tells operators of the fleet; nothing if it does not answer within two seconds."""
+        url = "http://{}:{}/_fleet".format(*self.admins[name]).encode()
+        call = Agent(self.reactor, connectTimeout=2).request(b"GET", url).addCallback(readBody)
+        try:
+            return orjson.loads(await call.addTimeout(2, self.reactor))
+        except Exception:  # refused, late, no JSON: a scenario's own terms say what that means
+            return {}
 
     def progress(self, second: int) -> None:
         asked = self.clients.reqs
@@ -503,6 +541,7 @@
             ways.append(hub.way(other, one))
         if fault.kind == "half-open":
             hub.half_open(one, other)
+            undo.append((hub.whole_again, one, other))
         name = {"freeze": "frozen", "reset": "reset_after"}.get(fault.kind, fault.kind)
         values = {
             "cut": True, "hole": True, "frozen": True, "delay": fault.ms / 1000, "loss": fault.part,
@@ -545,6 +584,17 @@
                     for at, word in process.events if word.startswith("ended by itself")
                 ]  # fmt: skip
         self.hold_service()
+        if scenario.hold.linked:
+            self.hold_linked()
+
+    def hold_linked(self) -> None:
+        members = [*self.processes][: self.scenario.fleet.group]
+        for name, told in self.record.fleet.items():
+            linked = {name, *told.get("mesh", {}).get("peers", {})}
+            missing = [one for one in members if one not in linked]
+            if missing:
+                text = f"no link to {' '.join(missing)} at the end"
+                self.record.breaches.append(Breach("hold.linked", self.record.end, name, text))
 
     def hold_service(self) -> None:
         record, hold = self.record, self.scenario.hold
--- a/ivystack/rig/relay.py
+++ b/ivystack/rig/relay.py
@@ -39,7 +39,7 @@
         self.hub, self.caller, self.called = hub, caller, called
         self.near, self.far = Side(self), Side(self)
         self.address = address
-        self.done = False
+        self.done = self.halved = False
 
     def up(self, side: Side) -> None:
         if side is self.near:
@@ -106,8 +106,9 @@
     def half(self, keeps: str) -> None:
         """One side's connection is reset, the side of `keeps` is not told."""
         gone, stays = (self.far, self.near) if keeps == self.caller else (self.near, self.far)
-        stays.stream.dirty = gone.stream.dirty = True
+        self.halved = True
         gone.stream.stop()  # so that its end does not pass
+        stays.stream.stop()
         if gone.transport is not None:
             gone.transport.abortConnection()
 
@@ -224,9 +225,11 @@
             self.ways[frm, to] = Way(frm, to, Random(self.rng.getrandbits(64)))
         return self.ways[frm, to]
 
-    def door(self, caller: str | None, called: str, address: tuple[str, int]) -> tuple[str, int]:
+    def door(
+        self, caller: str | None, called: str, address: tuple[str, int], host: str | None = None
+    ) -> tuple[str, int]:
         """Where that caller (None: whoever calls from an address of its own) reaches that process."""
-        made = Door(self, caller, called, address, self.HOST)
+        made = Door(self, caller, called, address, host or self.HOST)
         self.doors.append(made)
         return made.place
 
@@ -259,9 +262,15 @@
     def half_open(self, one: str, other: str) -> None:
         """All connections between the two end for the other one, and the first is not told."""
         for pair in [*self.pairs]:
-            if {pair.caller, pair.called} == {one, other}:
+            if {pair.caller, pair.called} == {one, other} and not pair.halved:
                 pair.half(one)
 
+    def whole_again(self, one: str, other: str) -> None:
+        """Who was not told learns it now."""
+        for pair in [*self.pairs]:
+            if pair.halved and {pair.caller, pair.called} == {one, other}:
+                pair.reset()
+
     def stop(self) -> None:
         for door in self.doors:
             door.close()
--- a/ivystack/rig/scenario.py
+++ b/ivystack/rig/scenario.py
@@ -80,6 +80,7 @@
     served: Part = 0.0  # in time, of all reqs
     served_last: Part = 0.0  # in time, of those of the last `last` seconds
     last: Positive = 2.0
+    linked: bool = False  # at the end each proxy has a link to every member of the consensus group
     crashes: bool = False  # processes may end by themselves
     slack_ms: Seconds = 500.0  # on the time of a final answer, beside how late the rig itself was
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -268,9 +268,10 @@
     # Guards its memory and the time of its start.
     code = (
         "import sys, ivystack.__main__, ivystack.net.proxy\n"
+        "own = [[n] for n in ('cli', 'rig', 'load', 'standin', 'mesh', 'fleet', 'consensus', 'duties')]\n"
         "tools = ('click', 'matplotlib', 'numpy', 'hdrh', 'sqlite3')\n"
         "print([n for n in sys.modules if n.split('.')[0] in tools"
-        " or n.startswith('ivystack.') and n.split('.')[1] in ('cli', 'rig', 'load', 'standin')])"
+        " or n.split('.')[:1] == ['ivystack'] and n.split('.')[1:2] in own])"
     )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=PACKAGE.parent)
     assert done.stdout == "[]\n", done.stdout + done.stderr
