A wall clock set back no longer stops the proxy's timers: the reactor goes by the monotonic one

Twisted's reactor takes its time from time.time, bound at import (twisted/python/runtime.py, `from time import time as seconds`); every deadline of the proxy hangs on its one timer (tables.py, Deadlines.arm), which then lay 1000 hours ahead. Our own Clock was monotonic already. Change: the reactor's `seconds` is time.monotonic (__main__.py, before anything asks for a timer). Ruled out: the relays and stand-ins (the rig's own reactor had no jump); the operators' address and the watch, which hang on the same timers.

--- a/ivystack/__main__.py
+++ b/ivystack/__main__.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import sys
+import time
 
 from loguru import logger
 
@@ -29,6 +30,9 @@
         print(fault, file=sys.stderr)
         return 2
     from twisted.internet import reactor
+
+    # Guards all deadlines: the library's own clock is the wall's, and set back by hours it stops every timer.
+    reactor.seconds = time.monotonic
     from twisted.python.log import startLoggingWithObserver
 
     from .net.proxy import Proxy
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -227,6 +227,12 @@
     assert {line.split()[1] for line in lines} >= {"rig", "p0", "p1", "p2"}
 
 
+def test_wall_clocks_that_jump_by_hours_change_nothing():
+    # Guards the deadlines: set back by hours, the reactor's own clock stopped every timer of the proxy.
+    code, told, _ = ivy("rig", "play", "clocks", "--quiet")
+    assert code == 0, told
+
+
 def altered(folder, path, before, after):
     """A copy of the program with one line changed."""
     shutil.copytree(PACKAGE, folder / "ivystack", ignore=shutil.ignore_patterns("__pycache__"))
