Agreement: a consensus group of proxies, Raft without I/O, its store, and a simulation that breaks it

The rig asks the group for things and judges the history (linearizable), aims faults at its leader, changes members. Ruled out: the registry's Raft package (docs/fleet.md); a shorter thread switch interval (no gain).

--- /dev/null
+++ b/ivystack/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""A few proxies that agree on one log, and the state that follows from it."""
--- a/ivystack/fleet/run.py
+++ b/ivystack/fleet/run.py
@@ -11,6 +11,9 @@
 import orjson
 from loguru import logger
 
+from ..consensus.client import Client
+from ..consensus.machine import Machine
+from ..consensus.member import Member
 from ..mesh.mesh import Mesh
 from ..settings import FaultError
 from .settings import Fleet, load
@@ -25,29 +28,57 @@
             proxy.reactor, proxy.deadlines, proxy.now, self.rng, fleet.name, fleet.keys, fleet.members,
             fleet.listen, bind,
         )  # fmt: skip
+        self.member: Member | None = None
+        self.client = Client(proxy.deadlines, proxy.now, self.rng, self.mesh, [*fleet.members])
+        if fleet.name in fleet.members:
+            self.join()
+
+    def join(self) -> None:
+        """This proxy is to be of the consensus group."""
+        fleet, proxy = self.fleet, self.proxy
+        self.member = Member(
+            proxy.reactor, proxy.deadlines, proxy.now, self.rng, fleet.name, [*fleet.members],
+            fleet.directory, self.mesh, Machine(), fleet.times.beat * 1000, fleet.times.election * 1000,
+        )  # fmt: skip
+        self.client.with_own(self.member)
 
     def start(self) -> None:
         self.proxy.admin.calls[b"/_fleet"] = {b"GET": self.told}
         self.proxy.reactor.addSystemEventTrigger("before", "shutdown", self.stop)
         self.mesh.start()
+        if self.member is not None:
+            self.member.start()
         logger.info("fleet name={} member={}", self.fleet.name, self.fleet.name in self.fleet.members)
 
     def reload(self) -> None:
-        """SIGHUP: the keys are read again, so that they can be changed one after the other."""
+        """SIGHUP: keys and members are read again."""
         try:
             fleet = load(self.path, self.fleet.name)
         except FaultError as fault:
-            logger.error("fleet: keys not taken: {}", fault)
+            logger.error("fleet: file not taken: {}", fault)
             return
-        self.mesh.keys = fleet.keys
-        logger.info("fleet: keys taken: {}", " ".join(fleet.keys.keys))
+        self.fleet, self.mesh.keys, self.client.members = fleet, fleet.keys, [*fleet.members]
+        self.mesh.keep_to(fleet.members)
+        if self.member is not None:
+            self.member.wanted = [*fleet.members]
+        elif fleet.name in fleet.members:
+            self.join()
+            self.member.start()
+        logger.info("fleet: taken keys={} members={}", " ".join(fleet.keys.keys), " ".join(fleet.members))
 
     def hand_on(self) -> None:
         """A planned end has begun: the proxy serves a little longer."""
+        if self.member is not None:
+            self.member.hand_on()
 
     def stop(self) -> None:
+        if self.member is not None:
+            self.member.stop()
         self.mesh.stop()
 
     def told(self) -> tuple[int, str]:
         """For operators: how things stand, as JSON."""
-        return 200, orjson.dumps({"name": self.fleet.name, "mesh": self.mesh.state()}).decode()
+        told = {"name": self.fleet.name, "mesh": self.mesh.state()}
+        if self.member is not None:
+            told["group"] = self.member.state()
+        return 200, orjson.dumps(told).decode()
--- a/ivystack/mesh/mesh.py
+++ b/ivystack/mesh/mesh.py
@@ -105,6 +105,16 @@
         for link in [*self.open]:
             link.end()
 
+    def keep_to(self, members: dict[str, tuple[str, int]]) -> None:
+        """Links are kept to these from now on; what is open to others stays until it ends."""
+        former, self.members = self.members, members
+        for peer, address in members.items():
+            if peer != self.name and former.get(peer) != address:
+                self.call(peer)
+        if self.listen is None and self.name in members:
+            self.listen = members[self.name]
+            self.answer()
+
     def call(self, peer: str) -> None:
         if self.stopped or peer in self.calling or peer not in self.members:
             return
--- /dev/null
+++ b/ivystack/rig/agree.py
@@ -0,0 +1,89 @@
+"""Asks the consensus group of a run for things, as a proxy would, and keeps the history.
+
+Owns the rig's own link to the members.  It must never count an operation as not done that was not answered.
+"""
+
+from __future__ import annotations
+
+from math import inf
+from random import Random
+
+from twisted.internet import defer
+
+from ..consensus.client import Client
+from ..mesh.keys import Keys
+from ..mesh.mesh import Mesh
+from ..net.tables import Deadlines
+from .linear import Op
+
+NAME = "rig"
+WITHIN = 3_000_000  # microseconds for an answer
+OPEN = 8  # operations at once: a history with more takes long to judge
+
+
+class Agreeing:
+    def __init__(
+        self, reactor, now, rng: Random, keys: Keys, members: dict[str, tuple[str, int]], bind: str,
+        rate: float, count: int,
+    ):  # fmt: skip
+        self.reactor, self.now, self.rng, self.rate, self.count = reactor, now, rng, rate, count
+        deadlines = Deadlines(reactor, now)
+        self.mesh = Mesh(reactor, deadlines, now, rng, NAME, keys, members, None, bind)
+        self.client = Client(deadlines, now, rng, self.mesh, [*members])
+        self.history: list[tuple[str, Op]] = []
+        self.known: dict[str, int] = {}  # versions as last seen
+        self.open: dict[int, tuple[str, int, tuple]] = {}
+        self.number = 0
+        self.done = False
+        self.mesh.start()
+
+    def members(self, members: dict[str, tuple[str, int]]) -> None:
+        self.mesh.keep_to(members)
+        self.client.members = [*members]
+
+    def led(self) -> defer.Deferred:
+        """Whether the group answers by now."""
+        done: defer.Deferred = defer.Deferred()
+        self.client.look("table", "get", ["a"], lambda good, what: done.callback(good), 1_000_000)
+        return done
+
+    def start(self) -> None:
+        if self.rate and not self.done:
+            self.ask()
+            self.reactor.callLater(self.rng.expovariate(self.rate), self.start)
+
+    def ask(self) -> None:
+        if len(self.open) >= OPEN:
+            return
+        self.number += 1
+        number, key = self.number, f"k{self.rng.randrange(self.count)}"
+        if self.rng.random() < 0.4:
+            args: tuple = ("get",)
+            call = self.client.look
+            asked = [key]
+        else:
+            wanted = self.known.get(key, 0) if self.rng.random() < 0.5 else None
+            args = ("set", b"%d" % number, wanted)
+            call = self.client.do
+            asked = [key, args[1], wanted]
+        self.open[number] = key, self.now(), args
+
+        def done(good: bool, what) -> None:
+            key, called, args = self.open.pop(number)
+            if good and what:
+                self.known[key] = what[1]
+            self.history.append((key, Op(called, self.now() if good else inf, args, what if good else None)))
+
+        call("table", args[0], asked, done, WITHIN)
+
+    def rest(self) -> None:
+        """Asks nothing more."""
+        self.done = True
+
+    def stop(self) -> None:
+        """What has no answer yet may have been done."""
+        self.done = True
+        for key, called, args in self.open.values():
+            self.history.append((key, Op(called, inf, args)))
+        self.open = {}
+        self.mesh.stop()
--- a/ivystack/rig/check.py
+++ b/ivystack/rig/check.py
@@ -9,8 +9,11 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
+from math import inf
+
 from ..load.clients import NACKED, SERVED, Class, Try
 from ..standin.ledger import SERVING, Ledger
+from .linear import Op, linearizable
 
 GRACE = 1_000_000  # after it was told, nothing new goes to a node that drains or is gone
 WINDOW = 1_000_000  # over which a cold node's reqs are counted
@@ -170,6 +173,50 @@
     return found
 
 
+# --- The agreed state ---
+
+
+def table_step(state: tuple[bytes, int], args: tuple) -> tuple[tuple[bytes, int], list]:
+    """What a key's value and version become, and the answer: ("get",) or ("set", value, wanted version)."""
+    value, version = state
+    if args[0] == "get":
+        return state, [value, version]
+    if args[2] not in (None, version):
+        return state, [False, version]
+    return (args[1], version + 1), [True, version + 1]
+
+
+def agreed(history: list[tuple[str, Op]]) -> list[Breach]:
+    """Each key's operations by themselves must be linearizable."""
+    found, by_key = [], defaultdict(list)
+    for key, op in history:
+        by_key[key].append(op)
+    for key, ops in by_key.items():
+        for part, state in windows(ops):
+            if not linearizable(part, state, table_step):
+                text = f"{len(part)} operations that no order explains"
+                found.append(Breach("linearizable", int(part[0].called), key, text))
+                break
+    return found
+
+
+def windows(ops: list[Op]) -> list[tuple[list[Op], tuple[bytes, int]]]:
+    """A key's history cut where nothing is under way and a look tells the state, so that each part is small.
+
+    Operations without an answer may take effect later, so after one there is no further cut.
+    """
+    ops = sorted(ops, key=lambda op: op.called)
+    parts, state, first, latest = [], (b"", 0), 0, 0.0
+    for at, op in enumerate(ops):
+        alone = op.called > latest and (at + 1 == len(ops) or ops[at + 1].called > op.returned)
+        if alone and op.args[0] == "get" and op.returned != inf and at > first:
+            parts.append((ops[first : at + 1], state))
+            state, first = tuple(op.result), at  # it is looked at again as the first of the next part
+        latest = max(latest, op.returned)
+    parts.append((ops[first:], state))
+    return parts
+
+
 # --- Duties ---
 
 
--- a/ivystack/rig/command.py
+++ b/ivystack/rig/command.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import click
+from loguru import logger
 
 from . import draw, scenario
 from .scenario import Scenario, ScenarioError
@@ -109,6 +110,8 @@
             troubles.append(failure.getTraceback() if failure else str(event.get("message")))
 
     startLoggingWithObserver(trouble, setStdout=False)
+    logger.remove()  # the rig's own links to members log too
+    logger.add(lambda line: troubles.append(str(line)), level="ERROR")
 
     async def one(made: Scenario, folder: Path) -> None:
         nonlocal code
--- a/ivystack/rig/draw.py
+++ b/ivystack/rig/draw.py
@@ -7,7 +7,7 @@
 
 from random import Random
 
-from .scenario import Fault, Fleet, Hold, Load, Scenario
+from .scenario import Agree, Fault, Fleet, Hold, Load, Scenario
 
 SHORT = 0.4, 2.5  # seconds that a drawn fault lasts
 
@@ -65,8 +65,18 @@
             fault.flap = rng.choice([0.0, 0.0, 0.3]) if kind in ("cut", "hole", "freeze") else 0.0
         faults.append(fault)
     faults.sort(key=lambda fault: fault.at)
+    if group and rng.random() < 0.5:
+        fault = Fault(at=round(rng.uniform(0.5, last), 2), kind="kill", span=0.5, who=["leader"])
+        faults.append(fault)
+    if group and rng.random() < 0.4:
+        way = rng.choice(["both", "there", "back"])
+        at = round(rng.uniform(0.5, last), 2)
+        kind = rng.choice(["cut", "hole", "freeze"])
+        faults.append(Fault(at=at, kind=kind, span=1.5, between=["leader", "p*"], way=way))
+    agree = Agree(rate=25.0 if group else 0.0, keys=4)
     return Scenario(
         version=1, name=f"random-{seed}", about="faults drawn by chance", seconds=seconds, seed=seed,
         fleet=Fleet(proxies=proxies, nodes=nodes, zones=rng.choice([1, 2]), group=group),
-        load=Load(rate=80.0, shape=rng.choice(["poisson", "surge"])), fault=faults, hold=Hold(),
+        load=Load(rate=80.0, shape=rng.choice(["poisson", "surge"])), fault=faults,
+        hold=Hold(linked=bool(group)), agree=agree,
     )  # fmt: skip
--- a/ivystack/rig/play.py
+++ b/ivystack/rig/play.py
@@ -6,35 +6,40 @@
 
 from __future__ import annotations
 
+import signal
 import socket
 import time
 from dataclasses import dataclass, field
+from math import inf
 from pathlib import Path
 from random import Random
 
 import orjson
+from msgspec.structs import replace
 from twisted.internet import defer
 from twisted.internet.protocol import ClientFactory
 from twisted.web.client import Agent, readBody
 
 from ..load.arrivals import drawn
 from ..load.clients import Class, Clients, in_time
-from ..mesh.keys import write
+from ..mesh.keys import read, write
 from ..net.resp import Resp, command
 from ..standin.discovery import Discovery
 from ..standin.ledger import DRAINING, GONE, SERVING, Ledger
 from ..standin.node import Node
 from ..standin.origin import Origin
-from .check import Act, Breach, Excuse, Terms, duties, rules
+from .check import Act, Breach, Excuse, Terms, agreed, duties, rules
 from .processes import Process
 from .relay import Hub
-from .scenario import LINK, LISTS, PROCESS, Fault, Scenario, found, names
+from .agree import Agreeing
+from .scenario import FILES, LEADER, LINK, LISTS, PROCESS, Fault, Scenario, found, names
 
 US = 1_000_000
 WINDOW = 10 * US  # of the deduplicated class
 MULTIPLE = 4.0  # of what a cold node bears
 SHARE = 0.3  # of a warm node's, what a cold one bears
 READY_WITHIN = 60.0  # seconds that the processes may take to start, all of them
+GROUP_WITHIN = 20.0  # that the consensus group may take to begin
 END_WITHIN = 6.0  # after SIGTERM
 LOOK = 0.05  # seconds between looks at the processes and at our own lateness
 
@@ -103,6 +108,7 @@
     held: list[tuple[int, int, str, str, int]] = field(default_factory=list)  # from, to, duty, proxy, token
     processes: list[Process] = field(default_factory=list)
     breaches: list[Breach] = field(default_factory=list)
+    agreed: list = field(default_factory=list)  # (key, operation) on the agreed state
     fleet: dict[str, dict] = field(default_factory=dict)  # what each proxy told of it at the end
     times: object = None  # the histogram of what was served
 
@@ -149,6 +155,10 @@
         self.ledger = self.record.ledger
         self.active: dict[int, list] = {}  # by the fault's number: what takes it back
         self.over = False
+        self.meshes: dict[str, tuple[str, int]] = {}
+        self.mesh_doors: dict[str, tuple[str, int]] = {}
+        self.members: list[str] = []
+        self.agreeing: Agreeing | None = None
         self.looked = self.now()
         self.build()
 
@@ -193,7 +203,7 @@
             self.posts = {one: hub.post(one, self.talks[one]) for one in proxies}
         self.admins = {one: (hosts[one], free(hosts[one])) for one in proxies}
         if fleet.group:
-            self.fleet_files(hosts)
+            self.fleet_files([*hosts][: fleet.group])
         self.processes = {
             one: Process(one, self.folder / one, self.reactor, self.now, environ=self.environ(one))
             for one in proxies
@@ -214,18 +224,21 @@
     def environ(self, name: str) -> dict[str, str]:
         return {"LB_FLEET": str(self.folder / f"{name}.fleet.toml")} if self.scenario.fleet.group else {}
 
-    def fleet_files(self, hosts: dict[str, str]) -> None:
+    def fleet_files(self, members: list[str]) -> None:
         """The operators' file for each proxy, with each member where that one reaches it."""
-        members = [*hosts][: self.scenario.fleet.group]
-        meshes = {one: (hosts[one], free(hosts[one])) for one in members}
-        # A relay's listener has its process's own address, by which a member is known.
-        doors = {one: self.hub.door(None, one, meshes[one], hosts[one]) for one in members}
-        (self.folder / "fleet.key").unlink(missing_ok=True)
-        write(self.folder / "fleet.key", "k1")
-        for name in hosts:
+        for one in members:
+            if one not in self.meshes:
+                host = self.hub.hosts[one]
+                self.meshes[one] = host, free(host)
+                # A relay's listener has its process's own address, by which a member is known.
+                self.mesh_doors[one] = self.hub.door(None, one, self.meshes[one], host)
+        if not (self.folder / "fleet.key").exists():
+            write(self.folder / "fleet.key", "k1")
+        self.members = members
+        for name in self.listens:
             lines = ["version = 1", 'key_file = "fleet.key"', f'directory = "{self.folder}/{{name}}/state"']
             for one in members:
-                host, port = (meshes if one == name else doors)[one]
+                host, port = (self.meshes if one == name else self.mesh_doors)[one]
                 lines += ["[[group.member]]", f'name = "{one}"', f'address = "{host}:{port}"']
             (self.folder / f"{name}.fleet.toml").write_text("\n".join(lines) + "\n")
 
@@ -250,6 +263,8 @@
     async def play(self) -> Record:
         try:
             await self.begin()
+            if self.scenario.fleet.group:
+                await self.agree()
             await self.load()
             await self.finish()
         finally:
@@ -291,16 +306,34 @@
         self.reactor.callLater(2, told, False)
         return done
 
+    async def agree(self) -> None:
+        """The consensus group is there, before the load begins."""
+        rng = Random(self.rng.getrandbits(64))
+        doors = {one: self.mesh_doors[one] for one in self.members}
+        self.agreeing = Agreeing(
+            self.reactor, self.now, rng, read(self.folder / "fleet.key"), doors, self.hub.hosts["clients"],
+            self.scenario.agree.rate, self.scenario.agree.keys,
+        )  # fmt: skip
+        began = self.now()
+        while not await self.agreeing.led():
+            if (self.now() - began) / US > GROUP_WITHIN:
+                raise RuntimeError(f"no leader of the consensus group within {GROUP_WITHIN:g} s")
+        self.tell(f"the consensus group is led by {self.agreeing.client.leader}")
+
     async def load(self) -> None:
         record, scenario = self.record, self.scenario
         record.start = self.now()
         self.clients.play(self.arrivals)
+        if self.agreeing is not None:
+            self.agreeing.start()
         for number, fault in enumerate(scenario.fault):
             self.reactor.callLater(fault.at, self.fault, number, fault)
         for second in range(1, int(scenario.seconds) + 1):
             self.reactor.callLater(second, self.progress, second)
         await self.wait(scenario.seconds)
         self.heal()
+        if self.agreeing is not None:
+            self.reactor.callLater(scenario.settle, self.agreeing.rest)
         await self.wait(scenario.settle + max(one.wait for one in CLASSES) / US)
         record.end = self.now()
         if scenario.fleet.group:
@@ -343,6 +376,8 @@
             if process.up():
                 process.kill()
         self.clients.close()
+        if self.agreeing is not None:
+            self.agreeing.stop()
         self.hub.stop()
         for node in self.nodes.values():
             node.die()
@@ -365,15 +400,27 @@
 
     # Faults.
 
-    def fault(self, number: int, fault: Fault) -> None:
-        if self.over:
+    def fault(self, number: int, fault: Fault, left: int | None = None) -> None:
+        if self.over or self.now() >= self.record.start + self.scenario.seconds * US:
             return
+        left = fault.times if left is None else left
+        if left > 1:
+            self.reactor.callLater(fault.every, self.fault, number + 1000, fault, left - 1)
+        fault = self.aimed(fault)
         if fault.flap:
             return self.flap(number, fault, self.now() + int((fault.span or 1e6) * US), True)
         self.begin_fault(number, fault)
         if fault.span is not None:
             self.reactor.callLater(fault.span, self.end_fault, number)
 
+    def aimed(self, fault: Fault) -> Fault:
+        """The leader of the consensus group is whoever is thought to be it just now."""
+        if LEADER not in (*fault.who, *fault.between):
+            return fault
+        leader = self.agreeing.client.leader or self.rng.choice(self.members)
+        who, between = ([leader if one == LEADER else one for one in of] for of in (fault.who, fault.between))
+        return replace(fault, who=who, between=between)
+
     def flap(self, number: int, fault: Fault, until: int, on: bool) -> None:
         if self.over or self.now() >= until or self.now() >= self.record.start + self.scenario.seconds * US:
             return self.end_fault(number)
@@ -392,6 +439,12 @@
             self.to_links(fault, undo)
         elif fault.kind in LISTS:
             self.to_list(fault, undo)
+        elif fault.kind in FILES:
+            self.mark("fleet", f"members {' '.join(fault.who)}", undo)
+            self.fleet_files(found(fault.who, [*self.processes], "who"))
+            self.agreeing.members({one: self.mesh_doors[one] for one in self.members})
+            for process in self.processes.values():
+                process.signal(signal.SIGHUP)
         else:
             for name in found(fault.who or ["n*"], [*self.nodes], "who"):
                 self.to_node(self.nodes[name], fault, undo)
@@ -586,12 +639,19 @@
         self.hold_service()
         if scenario.hold.linked:
             self.hold_linked()
+        if self.agreeing is not None:
+            record.agreed = self.agreeing.history
+            record.breaches += agreed(record.agreed)
+            last = record.start + int((scenario.seconds - scenario.hold.last) * US)
+            new = sum(one.called >= last and one.returned != inf for _, one in record.agreed)
+            if new < scenario.hold.agreed_last:
+                text = f"{new} answers from the agreed state, {scenario.hold.agreed_last} are to be"
+                record.breaches.append(Breach("hold.agreed_last", record.end, "group", text))
 
     def hold_linked(self) -> None:
-        members = [*self.processes][: self.scenario.fleet.group]
         for name, told in self.record.fleet.items():
             linked = {name, *told.get("mesh", {}).get("peers", {})}
-            missing = [one for one in members if one not in linked]
+            missing = [one for one in self.members if one not in linked]
             if missing:
                 text = f"no link to {' '.join(missing)} at the end"
                 self.record.breaches.append(Breach("hold.linked", self.record.end, name, text))
--- a/ivystack/rig/relay.py
+++ b/ivystack/rig/relay.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 from random import Random
 
 from twisted.internet.error import CannotListenError
@@ -215,8 +216,10 @@
         self.refused: set[tuple[str, int]] = set()  # callers whose connection went no further than to us
 
     def host(self, name: str, block: int, number: int) -> str:
-        """A loopback address that is that process's alone."""
-        host = f"127.{block}.{number // 250}.{number % 250 + 1}"
+        """A loopback address that is that process's alone; another run of the rig beside this one has others,
+        so that neither takes a port which the other has found free."""
+        run = 8 * (os.getpid() % 31)
+        host = f"127.{run + block}.{number // 250}.{number % 250 + 1}"
         self.hosts[name], self.names[host] = host, name
         return host
 
--- a/ivystack/rig/scenario.py
+++ b/ivystack/rig/scenario.py
@@ -15,6 +15,7 @@
 from msgspec import Meta, Struct
 
 VERSION = 1
+LEADER = "leader"
 
 Part = Annotated[float, Meta(ge=0, le=1)]
 Positive = Annotated[float, Meta(gt=0)]
@@ -24,6 +25,7 @@
 NODE = ("node-die", "node-hang", "node-slow", "node-fail", "node-drain", "node-spoil", "origin-slow")
 LINK = ("cut", "hole", "freeze", "delay", "loss", "twice", "rate", "reset", "half-open")
 LISTS = ("list-silent", "list-refuses")
+FILES = ("members",)  # of the consensus group, by a new operators' file
 
 
 class ScenarioError(ValueError):
@@ -58,7 +60,7 @@
     """`span` is written `for`: after it the fault is taken back; without it it stays to the end."""
 
     at: Seconds
-    kind: Literal[PROCESS + NODE + LINK + LISTS]  # type: ignore[valid-type]
+    kind: Literal[PROCESS + NODE + LINK + LISTS + FILES]  # type: ignore[valid-type]
     span: Seconds | None = msgspec.field(default=None, name="for")
     who: list[str] = []  # of a process or node: patterns, such as p0, p*, n2
     between: list[str] = []  # of a link: two patterns, of processes, "discovery" or "clients"
@@ -72,15 +74,25 @@
     ms: Seconds = 50.0  # delay
     jitter_ms: Seconds = 0.0
     bytes: Annotated[int, Meta(ge=0)] = 1000  # rate: a second; reset: before it
+    times: Annotated[int, Meta(ge=1, le=1000)] = 1  # again and again, `every` seconds apart
+    every: Seconds = 1.0
     flap: Seconds = 0.0  # on and off in turn, each so many seconds
 
 
+class Agree(Struct, forbid_unknown_fields=True):
+    """What the rig asks of the agreed state; the history of it must be linearizable."""
+
+    rate: Seconds = 0.0  # commands and looks a second; 0: none
+    keys: Annotated[int, Meta(ge=1, le=50)] = 5
+
+
 class Hold(Struct, forbid_unknown_fields=True):
     rules: bool = True  # the four rules
     served: Part = 0.0  # in time, of all reqs
     served_last: Part = 0.0  # in time, of those of the last `last` seconds
     last: Positive = 2.0
     linked: bool = False  # at the end each proxy has a link to every member of the consensus group
+    agreed_last: Annotated[int, Meta(ge=0)] = 0  # of what was asked of the agreed state, answered in `last`
     crashes: bool = False  # processes may end by themselves
     slack_ms: Seconds = 500.0  # on the time of a final answer, beside how late the rig itself was
 
@@ -94,6 +106,7 @@
     settle: Seconds = 1.5  # after the load's end, all faults taken back
     fleet: Fleet = msgspec.field(default_factory=Fleet)
     load: Load = msgspec.field(default_factory=Load)
+    agree: Agree = msgspec.field(default_factory=Agree)
     fault: list[Fault] = []
     hold: Hold = msgspec.field(default_factory=Hold)
 
@@ -111,6 +124,8 @@
     ['p0']
     """
     for pattern in patterns:
+        if pattern == LEADER:  # of the consensus group, known when it comes to it
+            return [pattern]
         if not any(fnmatch(name, pattern) for name in known):
             raise ScenarioError(f"`{key}`: no such process: {pattern}")
     return [name for name in known if any(fnmatch(name, pattern) for pattern in patterns)]
@@ -132,11 +147,21 @@
             if len(fault.between) != 2:
                 raise ScenarioError(f"{name}: `{key}.between`: wanted two, got {len(fault.between)}")
             for pattern in fault.between:
+                if pattern == LEADER and not made.fleet.group:
+                    raise ScenarioError(f"{name}: `{key}.between`: there is no consensus group")
                 found([pattern], [*proxies, *nodes, "discovery", "clients"], f"{name}: {key}.between")
-        elif fault.kind in (*PROCESS, *NODE) and fault.kind != "origin-slow":
-            known = proxies if fault.kind in PROCESS else nodes
+        elif fault.kind in (*PROCESS, *NODE, *FILES) and fault.kind != "origin-slow":
+            known = nodes if fault.kind in NODE else proxies
+            if LEADER in fault.who and not (made.fleet.group and fault.kind in PROCESS):
+                raise ScenarioError(f"{name}: `{key}.who`: there is no leader of such")
             if not found(fault.who, known, f"{name}: {key}.who"):
                 raise ScenarioError(f"{name}: `{key}.who`: missing")
+        if fault.kind in FILES and len(found(fault.who, proxies, key)) not in (3, 5, 7):
+            raise ScenarioError(f"{name}: `{key}.who`: a group has 3, 5 or 7 members")
+        if fault.times > 1 and fault.flap:
+            raise ScenarioError(f"{name}: `{key}.flap`: not with `times`")
+    if made.agree.rate and not made.fleet.group:
+        raise ScenarioError(f"{name}: `agree.rate`: there is no consensus group")
     total = made.load.read + made.load.put + made.load.pay
     if abs(total - 1) > 1e-9:
         raise ScenarioError(f"{name}: `load`: read, put and pay make {total:g}, not 1")
@@ -176,8 +201,8 @@
             lines.append(f"{key} = {text or msgspec.json.encode(value).decode()}")
 
     values = msgspec.to_builtins(scenario)
-    put(values, ("fleet", "load", "fault", "hold"))
-    for key in ("fleet", "load", "hold"):
+    put(values, ("fleet", "load", "agree", "fault", "hold"))
+    for key in ("fleet", "load", "agree", "hold"):
         lines.append(f"\n[{key}]")
         put(values[key])
     defaults = msgspec.to_builtins(Fault(at=0, kind="cut"))
