Duties: leases with fencing tokens, and slot-order, whose holder keeps one order for the fleet

SIGTERM hands on at once. The rig reads holds and acts from the processes' logs: one holder, tokens that only rise, one order at the end. Found by the rig: a holder that is heard and hears nothing was granted more for as long as that lasted, and nobody did the duty; a renewal now tells how old its last answer is (Leases.look), and past two thirds of a lease nothing is granted. Ruled out: renewals as entries, an election for each duty, the receiver's highest token alone (docs/fleet.md).

--- a/ivystack/consensus/member.py
+++ b/ivystack/consensus/member.py
@@ -53,6 +53,7 @@
         self.backlog: list[tuple[int, Entry]] = []  # committed, to be applied in later turns
         self.heirs: list = []  # called after each change of the state
         self.answer = self.say_answer
+        self.noted = lambda part, name, args, answer: None  # told of each look that was answered
         self.stopped = False
         mesh.takers["raft"] = self.heard_raft
         mesh.takers["knock"] = self.heard_knock
@@ -191,7 +192,9 @@
         for index, entry in now:
             if index < 0:
                 frm, number, (part, name, args) = self.reading.pop(entry)
-                self.answer(frm, number, True, self.look(part, name, args))
+                answer = self.look(part, name, args)
+                self.noted(part, name, args, answer)
+                self.answer(frm, number, True, answer)
                 continue
             answer = self.machine.apply(entry.data) if entry.kind == DATA else None
             self.applied = index
@@ -315,6 +318,14 @@
             return self.answer(frm, number, True, None)
         self.act()
 
+    def propose(self, part: str, name: str, args: list) -> None:
+        """Our own, as leader: an entry of our term, or none."""
+        self.count += 1
+        # By term and number, since no client of that name ever asks twice.
+        who = f"{self.ident} {self.core.term}"
+        if self.core.propose(packed((who, self.count, part, name, args))) is not None:
+            self.act()
+
     def refuse(self, frm: str, number: int) -> None:
         leader = name_of(self.core.leader) if self.core is not None else ""
         self.answer(frm, number, False, leader if leader != self.name else "")
--- /dev/null
+++ b/ivystack/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duties that only one proxy of the fleet may hold at a time."""
--- /dev/null
+++ b/ivystack/duties/order.py
@@ -0,0 +1,57 @@
+"""`slot-order`: one order of slots for the fleet, written by its holder, taken up by all.
+
+Owns the way between the agreed value and the proxy's slots.  It must never take an order that does not name
+most of the nodes that this proxy knows to be ready, or change slots where the agreed order is what they are.
+"""
+
+from __future__ import annotations
+
+from loguru import logger
+
+from ..model import READY
+from ..words import mark
+
+MARK = 3  # bytes a slot
+MOST = 4096  # slots
+DEAF = 3_000_000  # microseconds without a watch on the list: such a proxy knows no order worth writing
+
+
+class SlotOrder:
+    def __init__(self, proxy):
+        self.proxy = proxy
+        self.since: int | None = None  # the watch has been away since
+        self.version = 0  # of the order taken up last
+
+    def able(self) -> bool:
+        """Whether this proxy sees the list and knows a ready node."""
+        now = self.proxy.now()
+        if self.proxy.discovery.body is not None:
+            self.since = None
+        elif self.since is None:
+            self.since = now
+        heard = self.since is None or now - self.since < DEAF
+        return heard and self.proxy.started and not self.proxy.ending and self.proxy.ready()
+
+    def own(self) -> bytes:
+        return b"".join(mark(node) for node in self.proxy.choice.placement.slots)
+
+    def take(self, order: bytes, version: int) -> str:
+        """Takes an order up; what is wrong with it, if it is not."""
+        choice = self.proxy.choice
+        marks = [order[at : at + MARK] for at in range(0, len(order), MARK)]
+        if not marks or len(marks) > MOST or len(order) % MARK or len({*marks}) != len(marks):
+            return "malformed"
+        caches = [node for node in choice.nodes.values() if node.kind != choice.origin_kind]
+        ready = [mark(node) for node in caches if node.state == READY]
+        if 2 * len({*marks} & {*ready}) < len(ready):
+            return "strange"  # it names none of what we see: our own order is no worse
+        if order != self.own():
+            choice.placement.adopt(marks, caches, self.proxy.now())
+        self.version = version
+        return ""
+
+    def said(self, token: int, version: int, fault: str) -> None:
+        if fault:
+            logger.error("duty: slot-order version={} token={} not taken code={}", version, token, fault)
+        else:
+            logger.info("duty: act taken duty=slot-order token={} version={}", token, version)
--- a/ivystack/fleet/run.py
+++ b/ivystack/fleet/run.py
@@ -14,6 +14,8 @@
 from ..consensus.client import Client
 from ..consensus.machine import Machine
 from ..consensus.member import Member
+from ..duties.leases import Leases
+from ..duties.run import Duties
 from ..mesh.mesh import Mesh
 from ..settings import FaultError
 from .settings import Fleet, load
@@ -30,17 +32,23 @@
         )  # fmt: skip
         self.member: Member | None = None
         self.client = Client(proxy.deadlines, proxy.now, self.rng, self.mesh, [*fleet.members])
+        self.duties = Duties(
+            proxy, self.mesh, self.client, fleet.times.lease * 1000, fleet.times.drift
+        )
         if fleet.name in fleet.members:
             self.join()
 
     def join(self) -> None:
         """This proxy is to be of the consensus group."""
         fleet, proxy = self.fleet, self.proxy
+        leases = Leases(fleet.times.lease * 1000)
         self.member = Member(
             proxy.reactor, proxy.deadlines, proxy.now, self.rng, fleet.name, [*fleet.members],
-            fleet.directory, self.mesh, Machine(), fleet.times.beat * 1000, fleet.times.election * 1000,
+            fleet.directory, self.mesh, Machine(duty=leases), fleet.times.beat * 1000,
+            fleet.times.election * 1000,
         )  # fmt: skip
         self.client.with_own(self.member)
+        self.duties.with_own(self.member, leases)
 
     def start(self) -> None:
         self.proxy.admin.calls[b"/_fleet"] = {b"GET": self.told}
@@ -48,6 +56,7 @@
         self.mesh.start()
         if self.member is not None:
             self.member.start()
+        self.duties.start()
         logger.info("fleet name={} member={}", self.fleet.name, self.fleet.name in self.fleet.members)
 
     def reload(self) -> None:
@@ -68,17 +77,19 @@
 
     def hand_on(self) -> None:
         """A planned end has begun: the proxy serves a little longer."""
+        self.duties.hand_on()
         if self.member is not None:
             self.member.hand_on()
 
     def stop(self) -> None:
+        self.duties.stop()
         if self.member is not None:
             self.member.stop()
         self.mesh.stop()
 
     def told(self) -> tuple[int, str]:
         """For operators: how things stand, as JSON."""
-        told = {"name": self.fleet.name, "mesh": self.mesh.state()}
+        told = {"name": self.fleet.name, "mesh": self.mesh.state(), "duties": self.duties.state()}
         if self.member is not None:
             told["group"] = self.member.state()
         return 200, orjson.dumps(told).decode()
--- a/ivystack/rig/agree.py
+++ b/ivystack/rig/agree.py
@@ -35,8 +35,14 @@
         self.open: dict[int, tuple[str, int, tuple]] = {}
         self.number = 0
         self.done = False
+        self.holder = ""  # of slot-order, as the group's leader tells
+        self.mesh.takers["duty"] = self.hear
         self.mesh.start()
 
+    def hear(self, frm: str, body) -> None:
+        row = body[2].get("slot-order", [""])
+        self.holder = row[0].rpartition("/")[0]
+
     def members(self, members: dict[str, tuple[str, int]]) -> None:
         self.mesh.keep_to(members)
         self.client.members = [*members]
