A peer that lies, and two processes of one proxy, do no harm to group and duties

Seen while writing them: an entry of a kind that no version knows, which any peer with a key could ask for, stopped every member ("newer"); anybody could free another's lease; and what was said to a name went to its newest process alone, so that in an upgrade the old one's lease ran out unheard. Change: a leader makes an entry only of a command that it knows, in the asker's own name (Machine.knows, Member.asked); duties are taken, renewed, freed and written in one's own name alone (Duties.may); one peer may have 128 asks waiting; what can't be done changes nothing at any member instead of stopping it. Words that are no member's are counted, one line a period. A link's reply goes to the process that asked, all else to each process of that name (Mesh.say, reply). The rig gains a liar, a second process beside the first, and clears a kept folder of an earlier run (its old state had been taken for this run's: a false breach of linearizability).

--- a/ivystack/consensus/client.py
+++ b/ivystack/consensus/client.py
@@ -88,7 +88,7 @@
         body = (asked.number, asked.how, asked.what)
         if self.local is not None and asked.to == self.mesh.name:
             # In a turn of its own: the answer may come within the call.
-            self.deadlines.at(self.now(), self.local.asked, asked.to, body)
+            self.deadlines.at(self.now(), self.local.asked, asked.to, body, True)
             return True
         return self.mesh.say(asked.to, "ask", body)
 
@@ -97,11 +97,11 @@
             self.leader = ""
         self.next(asked)
 
-    def own_answer(self, frm: str, number: int, done: bool, what: Any) -> None:
-        if frm == self.mesh.name:
-            self.take(frm, number, done, what)
+    def own_answer(self, asker: tuple, number: int, done: bool, what: Any) -> None:
+        if asker[1] is None:
+            self.take(self.mesh.name, number, done, what)
         else:
-            self.local.say_answer(frm, number, done, what)
+            self.local.say_answer(asker, number, done, what)
 
     def answered(self, frm: str, body: Any) -> None:
         if frm in self.members:
--- a/ivystack/consensus/machine.py
+++ b/ivystack/consensus/machine.py
@@ -23,7 +23,9 @@
 
 
 class Part(Protocol):
-    """A part of the state.  `do` changes it and gives the answer; KeyError: no such command."""
+    """A part of the state.  `do` changes it and gives the answer; NAMES are its commands."""
+
+    NAMES: tuple[str, ...]
 
     def do(self, name: str, args: list) -> Any: ...
 
@@ -42,6 +44,7 @@
     ([True, 1], [False, 1], [b'1', 1])
     """
 
+    NAMES = ("set",)
     KEYS, KEY, VALUE = 512, 128, 16_384
 
     def __init__(self):
@@ -88,22 +91,21 @@
     def apply(self, data: bytes) -> Any:
         """The answer to the command in an entry.  [client, number, part, name, args]."""
         try:
-            client, number, part, name, args = msgspec.msgpack.decode(data)
-        except (msgspec.MsgspecError, ValueError, TypeError):
-            raise NewerError("an entry that can't be read") from None
+            what = msgspec.msgpack.decode(data)
+        except msgspec.MsgspecError:
+            what = None
+        if not isinstance(what, list) or not self.knows(what):
+            raise NewerError(f"an entry that we do not know: {str(what)[:80]}")
+        client, number, part, name, args = what
         known = self.answers.setdefault(client, {})
         self.answers.move_to_end(client)
         if number in known:
             return known[number]
         if known and number < min(known) and len(known) >= ANSWERS:
             return None  # so old that nobody waits for it: done or not, it is not done again
-        if part not in self.parts:
-            raise NewerError(f"an entry for a part called {part}")
         try:
             answer = self.parts[part].do(name, args)
-        except KeyError:
-            raise NewerError(f"a command called {part}.{name}") from None
-        except (TypeError, ValueError, AttributeError):  # what is asked so changes nothing, at every member
+        except Exception:  # guards the group: what can't be done so is done at no member, and none stops
             answer = None
         known[number] = answer
         while len(known) > ANSWERS:
@@ -112,6 +114,15 @@
             self.answers.popitem(last=False)
         return answer
 
+    def knows(self, what: list) -> bool:
+        """Whether a command can be made an entry of: one that is not known would stop every member."""
+        if len(what) != 5:
+            return False
+        client, number, part, name, args = what
+        sound = isinstance(client, str) and len(client) <= 160 and isinstance(number, int)
+        known = isinstance(part, str) and part in self.parts and name in self.parts[part].NAMES
+        return sound and known and isinstance(args, list)
+
     def look(self, part: str, name: str, args: list) -> Any:
         return self.parts[part].look(name, args)
 
--- a/ivystack/consensus/member.py
+++ b/ivystack/consensus/member.py
@@ -8,10 +8,11 @@
 
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 from loguru import logger
+from msgspec import Meta
 
 from .core import LEADER, Core
 from .council import ident, name_of, next_config
@@ -23,10 +24,12 @@
 FRESH = 4 * KNOCK  # a knock counts for so long
 AGAIN = 1_000_000  # before a directory that another process uses is tried again
 EVERY = 1024  # entries between snapshots
+EACH = 128  # that one proxy may have waiting: its client holds half of it
 APPLY = 256  # entries in one turn of the reactor: 1 ms
 
+Asker = tuple[str, Any]  # a proxy's name, and the link that it asked on; None: our own process
 raft_of = tuple[str, str, Message]
-ask_of = tuple[int, str, list]
+ask_of = tuple[int, Literal["do", "look"], Annotated[list, Meta(min_length=3, max_length=5)]]
 
 
 class Member:
@@ -43,8 +46,8 @@
         self.ident = ""
         self.off = "opening"  # why we are no member of use; empty: we are
         self.knocks: dict[str, tuple[str, bool, int]] = {}  # by name: id, whether begun, when
-        self.waiting: dict[int, tuple[int, str, int]] = {}  # proposals by index: term, who asks, their number
-        self.reading: dict[int, tuple[str, int, list]] = {}
+        self.waiting: dict[int, tuple[int, Asker, int]] = {}  # proposals by index: term, asker, number
+        self.reading: dict[int, tuple[Asker, int, list]] = {}
         self.count = 0
         self.since = 0  # entries since the last snapshot
         self.timer: list | None = None
@@ -53,6 +56,8 @@
         self.backlog: list[tuple[int, Entry]] = []  # committed, to be applied in later turns
         self.heirs: list = []  # called after each change of the state
         self.answer = self.say_answer
+        self.owing: dict[str, int] = {}  # by who asks: what waits
+        self.may = lambda frm, part, name, args: True  # whether that proxy may ask for it
         self.noted = lambda part, name, args, answer: None  # told of each look that was answered
         self.stopped = False
         mesh.takers["raft"] = self.heard_raft
@@ -176,7 +181,9 @@
                 self.mesh.say(name_of(to), "raft", (self.ident, to, message))
             self.backlog += out.applied
             for token in out.lost_reads:
-                self.refuse(*self.reading.pop(token)[:2])
+                asker, number, _ = self.reading.pop(token)
+                self.closed(asker)
+                self.refuse(asker, number)
             for token in out.reads:  # behind all that is committed
                 self.backlog.append((-1, token))
             if not (out.save or out.messages or out.applied or out.reads or out.lost_reads):
@@ -191,18 +198,21 @@
         now, self.backlog = self.backlog[:APPLY], self.backlog[APPLY:]
         for index, entry in now:
             if index < 0:
-                frm, number, (part, name, args) = self.reading.pop(entry)
+                asker, number, (part, name, args) = self.reading.pop(entry)
+                self.closed(asker)
                 answer = self.look(part, name, args)
                 self.noted(part, name, args, answer)
-                self.answer(frm, number, True, answer)
+                self.answer(asker, number, True, answer)
                 continue
             answer = self.machine.apply(entry.data) if entry.kind == DATA else None
             self.applied = index
-            term, frm, number = self.waiting.pop(index, (0, "", 0))
+            term, asker, number = self.waiting.pop(index, (0, ("", None), 0))
+            if term:
+                self.closed(asker)
             if term == entry.term:
-                self.answer(frm, number, True, answer)
+                self.answer(asker, number, True, answer)
             elif term:
-                self.refuse(frm, number)
+                self.refuse(asker, number)
             self.since += 1
         if self.since >= EVERY and not any(index > 0 for index, _ in self.backlog):
             self.since = 0
@@ -245,9 +255,9 @@
 
     def release(self) -> None:
         """Whoever waits for us asks elsewhere: what was proposed may still be done, once."""
-        waiting, self.waiting = self.waiting, {}
-        for _, frm, number in waiting.values():
-            self.refuse(frm, number)
+        waiting, self.waiting, self.owing = self.waiting, {}, {}
+        for _, asker, number in waiting.values():
+            self.refuse(asker, number)
         kept = {entry for index, entry in self.backlog if index < 0}
         for token in [one for one in self.reading if one not in kept]:
             self.refuse(*self.reading.pop(token)[:2])
@@ -288,34 +298,51 @@
         for name in others:
             self.mesh.say(name, "raft", (self.ident, fresh[name][0], Install(1, first, 0)))
 
+    def of_group(self, frm: str) -> bool:
+        """Guards the group against a peer that has a key and speaks as if it were a member."""
+        if frm not in self.wanted:
+            self.mesh.count("no-member", frm)
+        return frm in self.wanted
+
     def heard_knock(self, frm: str, body: Any) -> None:
+        if not self.of_group(frm):
+            return
         one, begun = msgspec.convert(body, tuple[str, bool])
-        if name_of(one) == frm and frm in self.wanted:
+        if name_of(one) == frm:
             self.knocks[frm] = one, begun, self.now()
 
     def heard_raft(self, frm: str, body: Any) -> None:
+        if not self.of_group(frm):
+            return
         sender, to, message = msgspec.convert(body, raft_of)
-        if name_of(sender) == frm and to == self.ident and self.core is not None and frm in self.wanted:
+        if name_of(sender) == frm and to == self.ident and self.core is not None:
             self.guarded(self.core.receive, self.now(), sender, message)
             self.act()
 
     # Who asks for something.
 
-    def asked(self, frm: str, body: Any) -> None:
+    def asked(self, frm: str, body: Any, own: bool = False) -> None:
         number, how, what = msgspec.convert(body, ask_of)
+        asker = frm, None if own else self.mesh.link
         if self.core is None or self.core.role != LEADER:
-            return self.refuse(frm, number)
+            return self.refuse(asker, number)
+        fit = how == "look" or self.machine.knows(what) and name_of(what[0]) == frm
+        if not fit or not self.may(frm, *what[-3:]):
+            self.mesh.count("not-allowed", frm)
+            return self.answer(asker, number, True, None)
+        if self.owing.get(frm, 0) >= EACH:
+            return self.refuse(asker, number)
         if how == "do":
             made = self.core.propose(packed(what))
             if made is None:
-                return self.refuse(frm, number)
-            self.waiting[made[0]] = made[1], frm, number
-        elif how == "look" and len(what) == 3:
+                return self.refuse(asker, number)
+            self.waiting[made[0]] = made[1], asker, number
+            self.owing[frm] = self.owing.get(frm, 0) + 1
+        elif how == "look":
             self.count += 1
-            self.reading[self.count] = frm, number, what
+            self.reading[self.count] = asker, number, what
+            self.owing[frm] = self.owing.get(frm, 0) + 1
             self.core.read(self.count)
-        else:
-            return self.answer(frm, number, True, None)
         self.act()
 
     def propose(self, part: str, name: str, args: list) -> None:
@@ -326,12 +353,21 @@
         if self.core.propose(packed((who, self.count, part, name, args))) is not None:
             self.act()
 
-    def refuse(self, frm: str, number: int) -> None:
+    def refuse(self, asker: Asker, number: int) -> None:
         leader = name_of(self.core.leader) if self.core is not None else ""
-        self.answer(frm, number, False, leader if leader != self.name else "")
-
-    def say_answer(self, frm: str, number: int, done: bool, what: Any) -> None:
-        self.mesh.say(frm, "answer", (number, done, what))
+        self.answer(asker, number, False, leader if leader != self.name else "")
+
+    def closed(self, asker: Asker) -> None:
+        """Something that it asked for waits no more."""
+        frm = asker[0]
+        left = self.owing.pop(frm, 1) - 1
+        if left > 0:
+            self.owing[frm] = left
+
+    def say_answer(self, asker: Asker, number: int, done: bool, what: Any) -> None:
+        """To the very process that asked: in an upgrade two have its name."""
+        if asker[1] is not None:
+            self.mesh.reply(asker[1], "answer", (number, done, what))
 
     def state(self) -> dict:
         """For operators."""
--- a/ivystack/duties/leases.py
+++ b/ivystack/duties/leases.py
@@ -26,6 +26,8 @@
 
 
 class Leases:
+    NAMES = "take", "free", "put"
+
     def __init__(self, lease: int = 0):
         """`lease` in microseconds is no part of the state: it serves looks alone."""
         self.proof = lease * 2 // 3  # so long ago a holder must have heard us, to be granted more
--- a/ivystack/duties/run.py
+++ b/ivystack/duties/run.py
@@ -57,6 +57,7 @@
         self.member, self.leases = member, leases
         member.heirs.append(self.changed)
         member.noted = self.noted
+        member.may = self.may
 
     def start(self) -> None:
         self.tick()
@@ -99,6 +100,18 @@
         for peer in [*self.mesh.peers]:
             self.mesh.say(peer, "duty", news)
 
+    def may(self, frm: str, part: Any, name: Any, args: Any) -> bool:
+        """Guards duties against a peer that has a key and lies: each takes, frees and writes in its own name
+        alone.  Which token it names is the agreed state's to look at."""
+        if part != "duty" or name == "value":
+            return True
+        if not isinstance(args, list) or len(args) < 2:
+            return False
+        if name == "take":
+            return str(args[1]).rpartition("/")[0] == frm
+        row = self.leases.rows.get(args[0]) if isinstance(args[0], str) else None
+        return row is not None and row.holder.rpartition("/")[0] == frm
+
     def noted(self, part: str, name: str, args: list, answer: Any) -> None:
         """A look that the leader answered, after a majority has confirmed that it leads."""
         if part == "duty" and name == "renew" and answer is True:
@@ -107,8 +120,10 @@
     # What the leader tells.
 
     def hear(self, frm: str, body: Any) -> None:
+        if frm not in self.mesh.members:
+            return self.mesh.count("no-member", frm)
         term, index, rows = msgspec.convert(body, news_of)
-        if frm in self.mesh.members and {*rows} <= {*KNOWN}:
+        if {*rows} <= {*KNOWN}:
             self.take_news(term, index, {duty: [*row] for duty, row in rows.items()})
 
     def take_news(self, term: int, index: int, rows: dict[str, list]) -> None:
--- a/ivystack/mesh/mesh.py
+++ b/ivystack/mesh/mesh.py
@@ -78,6 +78,7 @@
         self.total: dict[str, int] = {}
         self.next_line: list | None = None
         self.port = None
+        self.link: Link | None = None  # whose message is being taken
         self.stopped = False
 
     # Start and end.
@@ -163,7 +164,8 @@
     # Messages.
 
     def say(self, peer: str, kind: str, body: Any) -> bool:
-        """Whether there is a link to say it on.  It may be lost all the same."""
+        """Whether there is a link to say it on.  It may be lost all the same.  Each process of
+        that name gets it."""
         links = self.peers.get(peer)
         if not links:
             return False
@@ -171,15 +173,25 @@
         if len(text) > MESSAGE:
             self.count("too-long-to-say", peer)
             return False
-        links[-1].put(text)
+        for link in {link.life: link for link in links}.values():  # in an upgrade two processes have the name
+            link.put(text)
         return True
 
+    def reply(self, link: Link, kind: str, body: Any) -> None:
+        """To the very process that a message came from."""
+        if link.code is None and link in self.open:
+            link.write(kind, body)
+
     def heard(self, link: Link, kind: str, body: Any) -> None:
         taker = self.takers.get(kind)
         if taker is None:
             return self.count("unknown-kind", link.peer)
+        self.link = link  # for a taker that replies
         try:
             taker(link.peer, body)
+        except msgspec.ValidationError:  # nothing of ours, or of another version
+            self.count("unreadable", link.peer)
+            link.drop("unreadable")
         except Exception:  # guards the proxy against whatever a peer may say
             logger.exception("mesh: a message of kind {} from {} could not be taken", kind, link.peer)
             link.drop("unusable")
--- a/ivystack/rig/agree.py
+++ b/ivystack/rig/agree.py
@@ -82,6 +82,30 @@
 
         call("table", args[0], asked, done, WITHIN)
 
+    lies = False
+
+    def lie(self) -> None:
+        """A peer with a valid key that lies, hundreds of times a second: claims duties in others' names,
+        tokens far ahead, news and votes as if it were a member, an order of no real node, whatever else."""
+        if not self.lies or self.done:
+            return
+        self.reactor.callLater(0.01, self.lie)
+        rng, ahead = self.rng, 1 << 40
+        victim = self.holder or "p0"
+        asks = [
+            ("do", ["x/1", rng.randrange(1, 1 << 40), "duty", "take", ["slot-order", f"{victim}/false"]]),
+            ("do", ["x/1", rng.randrange(1, 1 << 40), "duty", "free", ["slot-order", rng.randrange(5)]]),
+            ("do", ["x/1", rng.randrange(1, 1 << 40), "duty", "put", ["slot-order", ahead, b"xyzuvw"]]),
+            ("do", ["x/1", rng.randrange(1, 1 << 40), "duty", "take", ["all", f"{NAME}/1"]]),
+            ("look", ["duty", "renew", ["slot-order", 1, f"{victim}/false", 0]]),
+            ("do", ["x/1", "one", None, 5, {}]),
+        ]
+        for peer in [*self.mesh.peers]:
+            self.mesh.say(peer, "duty", (ahead, ahead, {"slot-order": [f"{NAME}/1", ahead, ahead]}))
+            self.mesh.say(peer, "knock", (f"{peer}/ffffffff", True))
+            self.mesh.say(peer, "raft", (f"{victim}/0", f"{peer}/0", ["v", ahead, ahead, ahead, False, True]))
+            self.mesh.say(peer, "ask", (rng.randrange(1 << 40), *rng.choice(asks)))
+
     def rest(self) -> None:
         """Asks nothing more."""
         self.done = True
--- a/ivystack/rig/draw.py
+++ b/ivystack/rig/draw.py
@@ -78,5 +78,5 @@
         version=1, name=f"random-{seed}", about="faults drawn by chance", seconds=seconds, seed=seed,
         fleet=Fleet(proxies=proxies, nodes=nodes, zones=rng.choice([1, 2]), group=group),
         load=Load(rate=80.0, shape=rng.choice(["poisson", "surge"])), fault=faults,
-        hold=Hold(linked=bool(group)), agree=agree,
+        hold=Hold(linked=bool(group), orders=bool(group)), agree=agree, settle=4.0 if group else 1.5,
     )  # fmt: skip
--- a/ivystack/rig/play.py
+++ b/ivystack/rig/play.py
@@ -33,7 +33,7 @@
 from .processes import Process
 from .relay import Hub
 from .agree import Agreeing
-from .scenario import FILES, HOLDER, LEADER, LINK, LISTS, PROCESS, Fault, Scenario, found, names
+from .scenario import FILES, HOLDER, LEADER, LINK, PEER, LISTS, PROCESS, Fault, Scenario, found, names
 
 US = 1_000_000
 WINDOW = 10 * US  # of the deduplicated class
@@ -161,6 +161,7 @@
         self.mesh_doors: dict[str, tuple[str, int]] = {}
         self.members: list[str] = []
         self.agreeing: Agreeing | None = None
+        self.others: list[Process] = []  # beside the first ones
         self.looked = self.now()
         self.build()
 
@@ -339,8 +340,9 @@
         await self.wait(scenario.settle + max(one.wait for one in CLASSES) / US)
         record.end = self.now()
         if scenario.fleet.group:
-            for name in self.processes:
-                record.fleet[name] = await self.fleet_of(name)
+            for name, process in self.processes.items():
+                if process.up():
+                    record.fleet[name] = await self.fleet_of(name)
 
     async def fleet_of(self, name: str) -> dict:
         """What that proxy tells operators of the fleet; nothing if it does not answer within two seconds."""
@@ -362,18 +364,18 @@
         )
 
     async def finish(self) -> None:
-        for process in self.processes.values():
+        for process in (*self.processes.values(), *self.others):
             if process.up():
                 process.end()
         for _ in range(int(END_WITHIN / LOOK)):
-            if not any(process.up() for process in self.processes.values()):
+            if not any(process.up() for process in (*self.processes.values(), *self.others)):
                 break
             await self.wait(LOOK)
 
     def clear(self) -> None:
         """Ends all that was started, whatever has happened."""
         self.over = True
-        for process in self.processes.values():
+        for process in (*self.processes.values(), *self.others):
             process.duty = 0.0
             if process.up():
                 process.kill()
@@ -393,6 +395,8 @@
             self.record.lag = max(self.record.lag, now - self.looked - int(LOOK * US))
         self.looked = now
         before = {*self.hub.down}
+        for process in self.others:
+            process.look()
         for name, process in self.processes.items():
             process.look()
             (self.hub.down.discard if process.up() else self.hub.down.add)(name)
@@ -444,6 +448,11 @@
             self.to_links(fault, undo)
         elif fault.kind in LISTS:
             self.to_list(fault, undo)
+        elif fault.kind in PEER:
+            self.mark("rig", fault.kind, undo)
+            self.agreeing.lies = True
+            self.agreeing.lie()
+            undo.append((setattr, self.agreeing, "lies", False))
         elif fault.kind in FILES:
             self.mark("fleet", f"members {' '.join(fault.who)}", undo)
             self.fleet_files(found(fault.who, [*self.processes], "who"))
@@ -507,6 +516,8 @@
             process.stop()
             self.mark(name, word, undo, {"proxy": name}, 1.0)
             undo.append((process.go_on,))
+        elif fault.kind == "beside":
+            self.beside(process, undo)
         elif fault.kind == "slow":
             process.slow(fault.duty)
             self.mark(name, f"slow {fault.duty:g}", undo, {"proxy": name}, 1.0)
@@ -516,6 +527,28 @@
             self.mark(name, f"clock {fault.hours:+g} h", undo)
             undo.append((process.step, 0.0))
 
+    def beside(self, process: Process, undo: list) -> None:
+        """A second process of that proxy, as in an upgrade, with its name and its directory; clients do not
+        come to it.  Taking it back ends the first one, and the second goes on alone, with its directory."""
+        name = process.name
+        other = Process(f"{name}-new", self.folder / f"{name}-new", self.reactor, self.now,
+                        environ=self.environ(name) | {"LB_NAME": name})  # fmt: skip
+        other.program = process.program
+        host = self.hub.hosts[name]
+        config = self.config(name) | {
+            "listen": f"{host}:{free(host)}", "admin_addr": f"{host}:{free(host)}", "peer_listen": None,
+        }  # fmt: skip
+        other.start(config)
+        self.others.append(other)
+        self.record.processes.append(other)
+        self.mark(name, "beside", undo)
+
+        def end() -> None:
+            process.end()
+            self.mark(name, "ended for the new one", [], {"proxy": name}, 1.0)
+
+        undo.append((end,))
+
     def restart(self, process: Process, directory: str) -> None:
         if self.over:
             return
--- a/ivystack/rig/processes.py
+++ b/ivystack/rig/processes.py
@@ -30,6 +30,8 @@
         self.name, self.folder, self.reactor, self.now = name, folder, reactor, now
         self.arguments, self.environ = [*arguments], environ or {}
         self.state = folder / "state"
+        if (folder / "config.json").exists():  # an earlier run's, kept there: what it held is not this one's
+            shutil.rmtree(folder)
         for one in (folder, self.state, folder / "tmp"):
             one.mkdir(parents=True, exist_ok=True)
         self.clock = folder / "clock"
--- a/ivystack/rig/scenario.py
+++ b/ivystack/rig/scenario.py
@@ -21,10 +21,11 @@
 Positive = Annotated[float, Meta(gt=0)]
 Seconds = Annotated[float, Meta(ge=0)]
 
-PROCESS = ("kill", "restart", "stop", "slow", "clock")
+PROCESS = ("kill", "restart", "stop", "slow", "clock", "beside")
 NODE = ("node-die", "node-hang", "node-slow", "node-fail", "node-drain", "node-spoil", "origin-slow")
 LINK = ("cut", "hole", "freeze", "delay", "loss", "twice", "rate", "reset", "half-open")
 LISTS = ("list-silent", "list-refuses")
+PEER = ("lies",)  # of the rig's own link, which has a valid key
 FILES = ("members",)  # of the consensus group, by a new operators' file
 
 
@@ -60,7 +61,7 @@
     """`span` is written `for`: after it the fault is taken back; without it it stays to the end."""
 
     at: Seconds
-    kind: Literal[PROCESS + NODE + LINK + LISTS + FILES]  # type: ignore[valid-type]
+    kind: Literal[PROCESS + NODE + LINK + LISTS + FILES + PEER]  # type: ignore[valid-type]
     span: Seconds | None = msgspec.field(default=None, name="for")
     who: list[str] = []  # of a process or node: patterns, such as p0, p*, n2
     between: list[str] = []  # of a link: two patterns, of processes, "discovery" or "clients"
@@ -160,6 +161,8 @@
                 raise ScenarioError(f"{name}: `{key}.who`: missing")
         if fault.kind in FILES and len(found(fault.who, proxies, key)) not in (3, 5, 7):
             raise ScenarioError(f"{name}: `{key}.who`: a group has 3, 5 or 7 members")
+        if fault.kind in (*PEER, "beside") and not made.fleet.group:
+            raise ScenarioError(f"{name}: `{key}.kind`: there is no consensus group")
         if fault.times > 1 and fault.flap:
             raise ScenarioError(f"{name}: `{key}.flap`: not with `times`")
     if made.agree.rate and not made.fleet.group:
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -327,7 +327,13 @@
     for what in (["x", 1, "nothing", "set", []], ["x", 1, "table", "unheard", []], 5):
         with pytest.raises(NewerError):
             machine.apply(real.packed(what))
-    assert machine.apply(real.packed(["x", 1, "table", "set", [1, 2]])) is None
+    for args in ([1, 2], [], [{}]):
+        assert machine.apply(real.packed([f"x{args}", 1, "table", "set", args])) is None
+    assert machine.knows(["x/1", 1, "table", "set", []])
+    for what in ([], ["x", 1, "table", "set"], ["x", 1, None, "set", []], ["x", 1, "table", "none", []],
+                 ["x", "1", "table", "set", []], [5, 1, "table", "set", []], ["x", 1, "table", {}, []],
+                 ["x", 1, [], "set", []]):  # fmt: skip
+        assert not machine.knows(what)
 
 
 def test_a_history_that_no_order_explains_is_found_also_behind_many_good_ones():
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -259,7 +259,7 @@
 
 
 def test_real_holders_die_stop_and_are_cut_off_and_the_fleet_keeps_one_order():
-    scenes = ["holder-killed", "holder-stopped", "holder-cut", "herd-order"]
+    scenes = ["holder-killed", "holder-stopped", "holder-cut", "herd-order", "liar", "two-of-one"]
     told = {scene: process.communicate(timeout=120)[0] for scene, process in
             [(scene, playing(scene)) for scene in scenes]}  # fmt: skip
     assert [text for text in told.values() if not text.startswith("HOLDS")] == []
@@ -291,6 +291,7 @@
     assert len(refused) == 1
     for path, before, after in (
         ("duties/leases.py", "good = good and bool(row.holder) and token == row.token", "pass"),
+        ("duties/run.py", 'return row is not None and row.holder.rpartition("/")[0] == frm', "return True"),
         ("duties/fence.py", "if not self.taken.get(duty, 1) <= token <= self.known.get(duty, 0):", "if 0:"),
     ):
         file = tmp_path / "a" / "ivystack" / path
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -94,6 +94,22 @@
     assert not both.b.say("a", "x", 3) and not both.a.say("nobody", "x", 3)
 
 
+def test_two_processes_of_one_name_both_hear_and_a_reply_goes_to_the_one_that_asked():
+    # Guards an upgrade: what was said to the name went to the newer process, the old one's lease ran out.
+    both = Both().connect()
+    old_near, old_far = both.near, both.far
+    both.a.life = "another"
+    both.connect()
+    assert [link.life for link in both.b.peers["a"]] == [old_far.life, "another"]
+    both.b.takers["ask"] = lambda peer, body: both.b.reply(both.b.link, "x", body)
+    old_near.write("ask", 7)
+    old_far.dataReceived(old_near.transport.took())
+    assert old_far.transport.value() and not both.far.transport.value()
+    old_far.transport.clear()
+    both.b.say("a", "x", 1)
+    assert old_far.transport.value() and both.far.transport.value()
+
+
 def test_a_key_is_changed_with_both_valid_meanwhile():
     # Old and new in turn: the second learns to accept it, the first signs with it, then the old one goes.
     steps = [(ONE, ONE), (ONE, ONE | TWO), (ONE | TWO, TWO | ONE), (TWO | ONE, TWO), (TWO, TWO)]
