The rig keeps its ports and its times through a busy machine; the fleet's parts can't keep a proxy from serving

Seen: in two full test runs a scenario could not start (a port that had been found free was given out again before its process had it), and one found two holders of a duty, since the machine's wall clock was set 8 s ahead in the middle of the run and the logs' times are the wall's. Change: ports stay bound until the processes that want them start (play.Ports); the rig notes each step of the wall clock against its own and reads the logs by it. A fault in the start of the fleet's parts is logged and the proxy serves (Together.start); an address that can't be listened on is said once. Ruled out for the two holders: the lease's reckoning (both lines of the log moved by 8 s, the leader's own had the successor after the lease's end).

--- a/ivystack/consensus/member.py
+++ b/ivystack/consensus/member.py
@@ -25,7 +25,7 @@
 AGAIN = 1_000_000  # before a directory that another process uses is tried again
 EVERY = 1024  # entries between snapshots
 EACH = 128  # that one proxy may have waiting: its client holds half of it
-APPLY = 256  # entries in one turn of the reactor: 1 ms
+APPLY = 64  # entries in one turn of the reactor: 0.4 ms, with their answers well under one
 
 Asker = tuple[str, Any]  # a proxy's name, and the link that it asked on; None: our own process
 raft_of = tuple[str, str, Message]
--- a/ivystack/fleet/run.py
+++ b/ivystack/fleet/run.py
@@ -51,6 +51,12 @@
         self.duties.with_own(self.member, leases)
 
     def start(self) -> None:
+        try:
+            self.begin()
+        except Exception:  # guards the proxy: it serves as one without these parts
+            logger.exception("fleet: could not start")
+
+    def begin(self) -> None:
         self.proxy.admin.calls[b"/_fleet"] = {b"GET": self.told}
         self.proxy.reactor.addSystemEventTrigger("before", "shutdown", self.stop)
         self.mesh.start()
--- a/ivystack/fleet/settings.py
+++ b/ivystack/fleet/settings.py
@@ -35,7 +35,7 @@
 class TimesSheet(Struct, forbid_unknown_fields=True):
     """Milliseconds."""
 
-    beat: Ms = 100  # the leader says that it is there
+    beat: Ms = 150  # the leader says that it is there
     election: Ms = 600  # without that a member asks to be elected: up to twice as long, by chance
     lease: Ms = 3000  # of a duty
     drift: Annotated[float, Meta(ge=0, le=0.2)] = 0.02  # by which two clocks may go apart
--- a/ivystack/mesh/mesh.py
+++ b/ivystack/mesh/mesh.py
@@ -78,6 +78,7 @@
         self.total: dict[str, int] = {}
         self.next_line: list | None = None
         self.port = None
+        self.refused = False  # our listening address could not be had
         self.link: Link | None = None  # whose message is being taken
         self.stopped = False
 
@@ -94,8 +95,11 @@
             return
         try:
             self.port = self.reactor.listenTCP(self.listen[1], Called(self), 128, self.listen[0])
-        except CannotListenError:
+        except CannotListenError as fault:
             # In an upgrade the old process has it until it ends; members call it meanwhile.
+            if not self.refused:
+                logger.warning("mesh: {}; tried again until it can", fault)
+            self.refused = True
             self.deadlines.at(self.now() + LET_GO, self.answer)
 
     def stop(self) -> None:
--- a/ivystack/rig/logs.py
+++ b/ivystack/rig/logs.py
@@ -29,16 +29,18 @@
 
 ACT = re.compile(r"duty: act taken duty=(\S+) token=(\d+) version=(\d+)")
 HELD = re.compile(r"duty: (held|let go) duty=(\S+) token=(\d+)")
+SEEN = 50_000  # microseconds: the rig looks at the wall clock so often
 START = re.compile(r"(start name|fleet name)=")
 
 
 def logged(
-    folder: Path, offset: int, kills: dict[str, list[int]]
+    folder: Path, steps: list[tuple[int, int]], kills: dict[str, list[int]]
 ) -> tuple[list[Act], list[tuple[int, int, str, str, int]]]:
     """What the processes' logs say of duties: acts that were taken, and who held what from when to when.
 
-    Times are the rig's, `offset` microseconds before the wall clock's.  Who was killed (`kills`, by proxy)
-    holds until then.
+    Times are the rig's; `steps` tells by how many microseconds the wall clock was ahead of it, each from that
+    time of the wall clock on: one that is set in the middle of a run must move no event.  Who was killed
+    (`kills`, by proxy) holds until then.
     """
     midnight = time.localtime()
     day = int(time.mktime((*midnight[:3], 0, 0, 0, 0, 0, -1))) * 1_000_000
@@ -49,7 +51,8 @@
             if not TIME.match(line):
                 continue
             hours, minutes, seconds = line[:12].split(":")
-            at = day + round((int(hours) * 3600 + int(minutes) * 60 + float(seconds)) * 1e6) - offset
+            at = day + round((int(hours) * 3600 + int(minutes) * 60 + float(seconds)) * 1e6)
+            at -= next(ahead for wall, ahead in reversed(steps) if at >= wall - SEEN or not wall)
             found, holding = ACT.search(line), HELD.search(line)
             if found:
                 acts.append(Act(at, found[1], "", int(found[2]), name, True))
--- a/ivystack/rig/play.py
+++ b/ivystack/rig/play.py
@@ -42,6 +42,7 @@
 READY_WITHIN = 60.0  # seconds that the processes may take to start, all of them
 GROUP_WITHIN = 20.0  # that the consensus group may take to begin
 END_WITHIN = 6.0  # after SIGTERM
+STEP = 2_000  # microseconds: less than that the logs do not show
 LOOK = 0.05  # seconds between looks at the processes and at our own lateness
 
 CLASSES = [
@@ -75,11 +76,22 @@
     }  # fmt: skip
 
 
-def free(host: str, kind=socket.SOCK_STREAM) -> int:
-    with socket.socket(socket.AF_INET, kind) as one:
+class Ports:
+    """Free ports, kept from being given out again until the processes that want them are started."""
+
+    def __init__(self):
+        self.kept: list[socket.socket] = []
+
+    def free(self, host: str, kind=socket.SOCK_STREAM) -> int:
+        one = socket.socket(socket.AF_INET, kind)
+        self.kept.append(one)
         one.bind((host, 0))
         return one.getsockname()[1]
 
+    def let_go(self) -> None:
+        while self.kept:
+            self.kept.pop().close()
+
 
 @dataclass
 class Mark:
@@ -156,7 +168,9 @@
         self.ledger = self.record.ledger
         self.active: dict[int, list] = {}  # by the fault's number: what takes it back
         self.over = False
-        self.offset = time.time_ns() // 1000 - time.monotonic_ns() // 1000  # wall clock less ours
+        self.ports = Ports()
+        # Wall clock less ours, with the wall's time from which on it was so: a machine's may be set in a run.
+        self.steps = [(0, time.time_ns() // 1000 - self.now())]
         self.meshes: dict[str, tuple[str, int]] = {}
         self.mesh_doors: dict[str, tuple[str, int]] = {}
         self.members: list[str] = []
@@ -198,13 +212,14 @@
         }  # fmt: skip
         self.to_discovery = {one: hub.door(one, "discovery", self.discovery.address) for one in proxies}
         self.discovery.change(SERVING, *self.nodes.values())
-        self.listens = {one: (hosts[one], free(hosts[one])) for one in proxies}
+        self.listens = {one: (hosts[one], self.ports.free(hosts[one])) for one in proxies}
         self.to_proxies = {one: hub.door("clients", one, self.listens[one]) for one in proxies}
         self.talks, self.posts = {}, {}
         if fleet.peers:
-            self.talks = {one: (hosts[one], free(hosts[one], socket.SOCK_DGRAM)) for one in proxies}
+            talks = {one: self.ports.free(hosts[one], socket.SOCK_DGRAM) for one in proxies}
+            self.talks = {one: (hosts[one], talks[one]) for one in proxies}
             self.posts = {one: hub.post(one, self.talks[one]) for one in proxies}
-        self.admins = {one: (hosts[one], free(hosts[one])) for one in proxies}
+        self.admins = {one: (hosts[one], self.ports.free(hosts[one])) for one in proxies}
         if fleet.group:
             self.fleet_files([*hosts][: fleet.group])
         self.processes = {
@@ -232,7 +247,7 @@
         for one in members:
             if one not in self.meshes:
                 host = self.hub.hosts[one]
-                self.meshes[one] = host, free(host)
+                self.meshes[one] = host, self.ports.free(host)
                 # A relay's listener has its process's own address, by which a member is known.
                 self.mesh_doors[one] = self.hub.door(None, one, self.meshes[one], host)
         if not (self.folder / "fleet.key").exists():
@@ -282,6 +297,7 @@
 
     async def begin(self) -> None:
         began = self.now()
+        self.ports.let_go()
         for name, process in self.processes.items():
             process.start(self.config(name))
         self.look()
@@ -394,6 +410,9 @@
         if self.record.start:
             self.record.lag = max(self.record.lag, now - self.looked - int(LOOK * US))
         self.looked = now
+        wall = time.time_ns() // 1000
+        if abs(wall - now - self.steps[-1][1]) > STEP:
+            self.steps.append((wall, wall - now))
         before = {*self.hub.down}
         for process in self.others:
             process.look()
@@ -457,6 +476,7 @@
             self.mark("fleet", f"members {' '.join(fault.who)}", undo)
             self.fleet_files(found(fault.who, [*self.processes], "who"))
             self.agreeing.members({one: self.mesh_doors[one] for one in self.members})
+            self.ports.let_go()
             for process in self.processes.values():
                 process.signal(signal.SIGHUP)
         else:
@@ -536,8 +556,10 @@
         other.program = process.program
         host = self.hub.hosts[name]
         config = self.config(name) | {
-            "listen": f"{host}:{free(host)}", "admin_addr": f"{host}:{free(host)}", "peer_listen": None,
+            "listen": f"{host}:{self.ports.free(host)}", "admin_addr": f"{host}:{self.ports.free(host)}",
+            "peer_listen": None,
         }  # fmt: skip
+        self.ports.let_go()
         other.start(config)
         self.others.append(other)
         self.record.processes.append(other)
@@ -668,7 +690,7 @@
         if scenario.hold.rules:
             record.breaches += rules(record.tries, self.ledger, record.excuses, terms)
         kills = {one.name: [at for at, word in one.events if word == "kill"] for one in record.processes}
-        held = logged(self.folder, self.offset, kills)
+        held = logged(self.folder, self.steps, kills)
         record.acts = [act for act in held[0] if scenario.hold.duties]
         record.held = [one for one in held[1] if one[0] < record.end]
         record.breaches += duties(record.acts) + overlapping(record.held, self.stops())
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -1,6 +1,7 @@
 """Duties: leases against clocks that go apart, fencing, who comes forward, the slot order, real processes."""
 
 import sys
+import time
 from random import Random
 from types import ModuleType
 
@@ -14,6 +15,7 @@
 from ivystack.duties.leases import Leases
 from ivystack.duties.order import SlotOrder
 from ivystack.rig.check import overlapping
+from ivystack.rig.logs import logged
 from ivystack.words import mark
 
 MS, S = 1_000, 1_000_000
@@ -255,6 +257,18 @@
     assert len(overlapping([(0, S, DUTY, "a", 1), (2 * S, 3 * S, DUTY, "b", 1)], [])) == 1
 
 
+def test_a_wall_clock_that_is_set_in_the_middle_of_a_run_moves_no_event_of_the_logs(tmp_path):
+    (tmp_path / "p0").mkdir()
+    (tmp_path / "p0" / "log").write_text(
+        "10:00:01.000 INFO duty: held duty=slot-order token=1\n"
+        "10:00:12.000 INFO duty: let go duty=slot-order token=1 code=ran-out\n"
+    )
+    day = int(time.mktime((*time.localtime()[:3], 0, 0, 0, 0, 0, -1))) * S
+    begin = day + 36_000 * S  # the rig's own clock is at 0 then; at 3 s the wall's is set 8 s ahead
+    steps = [(0, begin), (begin + 11 * S, begin + 8 * S)]
+    assert logged(tmp_path, steps, {})[1] == [(1 * S, 4 * S, DUTY, "p0", 1)]
+
+
 # Real processes.
 
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -3,13 +3,14 @@
 from random import Random
 
 import pytest
-from helpers import S, Transport
+from helpers import S, Transport, proxy
 from loguru import logger
 from test_rig import ivy
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.error import CannotListenError, ConnectionDone, ConnectionRefusedError
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
+from ivystack.fleet.run import Together
 from ivystack.fleet.settings import faults, load
 from ivystack.mesh import link as links
 from ivystack.mesh import mesh as meshes
@@ -305,6 +306,35 @@
     assert code == 2 and told.count("\n") == len(found)
 
 
+def test_a_fault_of_the_fleets_parts_does_not_keep_the_proxy_from_serving(tmp_path, said):
+    write(tmp_path / "key", "k1")
+    (tmp_path / "fleet.toml").write_text(GOOD)
+    made = proxy()
+    together = Together(made, str(tmp_path / "fleet.toml"), load(tmp_path / "fleet.toml", "z"))
+    together.mesh.start = lambda: 1 / 0
+    together.start()
+    assert sum("fleet: could not start" in line for line in said) == 1
+
+
+def test_an_address_that_is_taken_is_said_once_and_tried_again(said):
+    both = Both()
+    both.a.listen = "127.0.0.1", 1
+    listens = both.clock.listenTCP
+    tries = []
+
+    def taken(*where):
+        tries.append(where)
+        raise CannotListenError("127.0.0.1", 1, OSError(98, "in use"))
+
+    both.clock.listenTCP = taken
+    both.a.answer()
+    both.clock.pump([0.1] * 20)
+    assert len(tries) > 5 and sum("tried again" in line for line in said) == 1
+    both.clock.listenTCP = listens
+    both.clock.advance(1)
+    assert both.a.port is not None
+
+
 def test_the_example_that_operators_copy_is_good(tmp_path):
     text = open("deploy/fleet.example.toml").read()
     write(tmp_path / "fleet.key", "k1")
