SIGTERM begins the proxy's own end first: a fault of the fleet's parts can't keep it from ending

Found when the change was read again: __main__.end asked the fleet's parts to hand on before Proxy.terminate, so that an exception there would have left a proxy that serves on until SIGKILL, with reqs in hand. The order is turned round; both happen in one turn of the reactor. Test: a hand-over that raises, and the proxy ends all the same.

--- a/ivystack/__main__.py
+++ b/ivystack/__main__.py
@@ -68,10 +68,11 @@
 
 
 def end(proxy, together=None) -> None:
-    """SIGTERM: what others wait for is handed on first."""
+    """SIGTERM.  First the proxy's own end, which nothing of the fleet's may keep from beginning; it still serves,
+    and what it holds for the fleet is handed on in the same turn."""
+    proxy.terminate()
     if together is not None:
         together.hand_on()
-    proxy.terminate()
 
 
 def reload(proxy, together=None) -> None:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -10,6 +10,7 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
+from ivystack.__main__ import end
 from ivystack.fleet.run import Together
 from ivystack.fleet.settings import faults, load
 from ivystack.mesh import link as links
@@ -316,6 +317,15 @@
     assert sum("fleet: could not start" in line for line in said) == 1
 
 
+def test_a_fault_of_the_fleets_parts_does_not_keep_the_proxy_from_ending():
+    # Guards SIGTERM: the proxy would have served on until it was killed with reqs in hand.
+    made = proxy()
+    made.port = None
+    with pytest.raises(ZeroDivisionError):
+        end(made, type("Together", (), {"hand_on": lambda self: 1 / 0})())
+    assert made.ending
+
+
 def test_an_address_that_is_taken_is_said_once_and_tried_again(said):
     both = Both()
     both.a.listen = "127.0.0.1", 1
