--- a/ivystack/__main__.py
+++ b/ivystack/__main__.py
@@ -68,8 +68,8 @@
 
 
 def end(proxy, together=None) -> None:
-    """SIGTERM.  First the proxy's own end, which nothing of the fleet's may keep from beginning; it still serves,
-    and what it holds for the fleet is handed on in the same turn."""
+    """SIGTERM.  First the proxy's own end, which nothing of the fleet's may keep from beginning; in the same
+    turn what it holds for the fleet is handed on."""
     proxy.terminate()
     if together is not None:
         together.hand_on()
