A member's log that is spoilt, cut or put back from a copy is never opened in silence

Found when the change was read again, each shown first: - A member killed with 30 acknowledged entries in SQLite's write-ahead log, one bit flipped in the middle of it: 14 entries came back without a word. The library takes all behind a page with a wrong checksum for torn (wal.c, by design), so the digests on records never saw it. The device's number, compared too, may be another after a restart of the machine: all members of a group would have come back as new ones at once. Change: beside the database the number of acknowledged commits is kept in a file of two slots, synced before anything is said to be written; fewer commits in the database than that is `older`. The identity is the marker's inode and when it changed last, which no copying tool can set, kept in the database with a digest; no device.

--- a/ivystack/consensus/store.py
+++ b/ivystack/consensus/store.py
@@ -24,7 +24,10 @@
 from .core import Save
 from .forms import VERSION, Config, Entry, Snapshot, packed
 
-FILE, MARK, LOCK = "agreed.sqlite", "identity", "lock"
+FILE, LOCK = "agreed.sqlite", "lock"
+# A marker that is made once and never touched, and how many commits were acknowledged, in two slots in turn.
+MARK, TAIL = "identity", "tail"
+SLOT = 64  # bytes of a slot, of which a torn write spoils one
 GROUPED = 64  # saves in one transaction: what has come while the last one was synced
 TABLES = """
 CREATE TABLE IF NOT EXISTS kept (name TEXT PRIMARY KEY, value BLOB NOT NULL, digest BLOB NOT NULL);
@@ -32,8 +35,8 @@
 """
 entry_of = msgspec.msgpack.Decoder(Entry).decode
 snapshot_of = msgspec.msgpack.Decoder(Snapshot).decode
-head_of = msgspec.msgpack.Decoder(tuple[int, str, int, int]).decode
-identity_of = msgspec.msgpack.Decoder(tuple[int, str, int, int, int]).decode
+head_of = msgspec.msgpack.Decoder(tuple[int, str, int, int, int]).decode
+identity_of = msgspec.msgpack.Decoder(tuple[int, str, int, int]).decode
 
 
 class UnfitError(Exception):
@@ -62,13 +65,16 @@
     def __init__(self, folder: Path, back: Callable[..., None], failed: Callable[[str], None]):
         """`back(call, *values)` runs a call on the caller's own thread; `failed` is told once, there."""
         self.folder, self.back, self.failed = folder, back, failed
+        self.file, self.mark, self.tail = folder / FILE, folder / MARK, folder / TAIL
+        self.commits = 0
         self.jobs: queue.SimpleQueue = queue.SimpleQueue()
         self.thread: threading.Thread | None = None
         self.lock = None
+        self.known: tuple | None = None  # which files these are, while the thread runs
         self.writes = self.syncs = 0
         self.slowest = 0.0
 
-    # Before the thread runs: on the caller's own, at the start alone.
+    # Before the thread runs.
 
     def open(self) -> Loaded:
         """Takes the directory and reads it whole; raises UnfitError, and then nothing there has changed."""
@@ -82,36 +88,56 @@
         except OSError as fault:
             self.close()
             raise UnfitError("unwritable", f"{self.folder}: {fault.strerror}") from None
-        mark, file = self.folder / MARK, self.folder / FILE
-        if not mark.exists() and not file.exists():
+        if not self.mark.exists() and not self.file.exists():
             return self.create()
         try:
-            return self.read(mark, file)
+            return self.read()
         except sqlite3.Error as fault:
-            raise UnfitError("spoilt", f"{file}: {fault}") from None
+            raise UnfitError("spoilt", f"{self.file}: {fault}") from None
         except OSError as fault:
             raise UnfitError("lost", f"{fault.filename}: {fault.strerror}") from None
 
     def create(self) -> Loaded:
-        life, mark, file = secrets.token_hex(4), self.folder / MARK, self.folder / FILE
+        life, nothing = secrets.token_hex(4), Snapshot(0, 0, Config())
         try:
-            nothing = Snapshot(0, 0, Config())
-            with closing(self.connect(file)) as base:
+            with closing(self.connect(self.file)) as base:
                 base.executescript(TABLES)
-                self.put(base, "head", packed((VERSION, "", 0, 0)))
+                self.put(base, "head", packed((VERSION, "", 0, 0, 0)))
                 self.put(base, "snapshot", packed(nothing))
-            # Last: with the marker there, the rest is.  It tells which files these are: a copy is another.
-            with open(mark, "wb") as made:
-                where, own = os.fstat(made.fileno()), os.stat(file)
-                value = packed((VERSION, life, where.st_dev, where.st_ino, own.st_ino))
-                made.write(value + digest(MARK, value))
-                made.flush()
-                os.fsync(made.fileno())
-            self.sync_folder()
+                with open(self.tail, "xb") as tail, open(self.mark, "xb") as mark:
+                    self.acknowledge(tail.fileno(), 0)
+                    os.fsync(mark.fileno())
+                self.sync_folder()
+                # Last: without it the directory counts as lost.
+                self.put(base, "identity", packed((VERSION, life, *self.marked())))
         except (OSError, sqlite3.Error) as fault:
             raise UnfitError("unwritable", f"{self.folder}: {fault}") from None
         return Loaded(life, 0, "", nothing, [], False)
 
+    def marked(self) -> tuple[int, int]:
+        """What tells this directory from any copy: the marker's inode, and when that changed last, which no
+        tool that copies can set.  Never the device: its number may be another after a start."""
+        about = os.stat(self.mark)
+        return about.st_ino, about.st_ctime_ns
+
+    def acknowledge(self, tail: int, commit: int) -> None:
+        """So many commits have been made, and may be told.
+
+        Guards against the library's log: at a spoilt or missing page it takes all that comes behind for torn,
+        and opens without a word on what is left.
+        """
+        number = commit.to_bytes(8, "big")
+        os.pwrite(tail, number + digest(TAIL, number), commit % 2 * SLOT)
+        os.fdatasync(tail)
+
+    def acknowledged(self) -> int:
+        text = self.tail.read_bytes()
+        slots = [text[at : at + 24] for at in (0, SLOT)]
+        good = [int.from_bytes(one[:8], "big") for one in slots if digest(TAIL, one[:8]) == one[8:]]
+        if not good:
+            raise UnfitError("spoilt", f"{self.tail}: wrong digest")
+        return max(good)
+
     def sync_folder(self) -> None:
         number = os.open(self.folder, os.O_RDONLY)
         try:
@@ -126,22 +152,21 @@
         base.execute("PRAGMA journal_size_limit=1048576")
         return base
 
-    def read(self, mark: Path, file: Path) -> Loaded:
-        value = mark.read_bytes()
-        value, sealed = value[:-16], value[-16:]
-        if digest(MARK, value) != sealed:
-            raise UnfitError("spoilt", f"{mark}: wrong digest")
-        version, life, device, inode, own = identity_of(value)
-        if version != VERSION:
-            raise UnfitError("newer", f"{mark}: version {version}, this program reads {VERSION}")
-        about = os.stat(mark)
-        if (about.st_dev, about.st_ino, os.stat(file).st_ino) != (device, inode, own):
-            raise UnfitError("older", f"{self.folder}: these files are copies; what they lack can't be known")
+    def read(self) -> Loaded:
+        file, marked, told = self.file, self.marked(), self.acknowledged()
+        os.stat(file)  # the library would make a new one
         base = self.connect(file)
         try:
-            version, voted, term, _ = head_of(self.get(base, "head"))
+            if base.execute("SELECT 1 FROM kept WHERE name = 'identity'").fetchall() == []:
+                raise UnfitError("lost", f"{self.folder}: it was not made to its end")
+            _, life, *known = identity_of(self.get(base, "identity"))
+            if (*known,) != marked:
+                raise UnfitError("older", f"{self.folder}: a copy; what it lacks can't be known")
+            version, voted, term, last, self.commits = head_of(self.get(base, "head"))
             if version != VERSION:
                 raise UnfitError("newer", f"{file}: version {version}, this program reads {VERSION}")
+            if not told <= self.commits <= told + 1:  # one more: it ended between the two
+                raise UnfitError("older", f"{file}: {self.commits} commits, {told} were acknowledged")
             snapshot = snapshot_of(self.get(base, "snapshot"))
             entries = []
             rows = base.execute(
@@ -151,10 +176,9 @@
                 if at != snapshot.index + len(entries) + 1 or digest(f"entry {at}", text) != sealed:
                     raise UnfitError("spoilt", f"{file}: entry {snapshot.index + len(entries) + 1}")
                 entries.append(entry_of(text))
-            count = head_of(self.get(base, "head"))[3]
-            if count != snapshot.index + len(entries):
-                found = snapshot.index + len(entries)
-                raise UnfitError("spoilt", f"{file}: entries end at {found}, not {count}")
+            found = snapshot.index + len(entries)
+            if last != found:
+                raise UnfitError("spoilt", f"{file}: entries end at {found}, not {last}")
         except msgspec.MsgspecError as fault:
             raise UnfitError("spoilt", f"{file}: {fault}") from None
         finally:
@@ -164,7 +188,7 @@
     def get(self, base: sqlite3.Connection, name: str) -> bytes:
         row = base.execute("SELECT value, digest FROM kept WHERE name = ?", (name,)).fetchone()
         if row is None or digest(name, row[0]) != row[1]:
-            raise UnfitError("spoilt", f"{self.folder / FILE}: {name}")
+            raise UnfitError("spoilt", f"{self.file}: {name}")
         return row[0]
 
     def put(self, base: sqlite3.Connection, name: str, value: bytes) -> None:
@@ -206,10 +230,11 @@
             lock.close()
 
     def run(self) -> None:
-        base = None
+        base = tail = None
         try:
-            base = self.connect(self.folder / FILE)
-            self.inode = os.stat(self.folder / MARK).st_ino
+            self.known = self.marked(), os.stat(self.file).st_ino
+            base = self.connect(self.file)
+            tail = open(self.tail, "r+b", buffering=0)  # noqa: SIM115
             while (job := self.jobs.get()) is not None:
                 jobs, last = [job], False
                 while len(jobs) < GROUPED and not self.jobs.empty():
@@ -220,10 +245,12 @@
                     jobs.append(more)
                 began = time.monotonic()
                 self.still_here()
+                self.commits += 1
                 base.execute("BEGIN IMMEDIATE")
                 for save, _ in jobs:
                     self.write(base, save)
                 base.execute("COMMIT")
+                self.acknowledge(tail.fileno(), self.commits)
                 self.syncs += 1
                 self.writes += len(jobs)
                 self.slowest = max(self.slowest, time.monotonic() - began)
@@ -235,15 +262,16 @@
             # Final: what the kernel could not write it may drop, and say yes to the next sync.
             self.back(self.failed, f"{type(fault).__name__}: {fault}")
         finally:
-            if base is not None:
+            for one in (base, tail):
                 try:
-                    base.close()
-                except sqlite3.Error:
+                    if one is not None:
+                        one.close()
+                except (sqlite3.Error, OSError):
                     pass
 
     def still_here(self) -> None:
         """Guards against a directory that was taken away under us: what is written to it then is nowhere."""
-        if os.stat(self.folder / MARK).st_ino != self.inode:
+        if (self.marked(), os.stat(self.file).st_ino) != self.known:
             raise OSError("the directory was replaced")
 
     def write(self, base: sqlite3.Connection, save: Save) -> None:
@@ -256,4 +284,4 @@
             rows.append((at, value, digest(f"entry {at}", value)))
         base.executemany("INSERT INTO entry VALUES (?, ?, ?)", rows)
         last = save.first + len(save.entries) - 1
-        self.put(base, "head", packed((VERSION, save.voted, save.term, last)))
+        self.put(base, "head", packed((VERSION, save.voted, save.term, last, self.commits)))
