--- a/ivystack/load/arrivals.py
+++ b/ivystack/load/arrivals.py
@@ -9,8 +9,6 @@
 from itertools import accumulate
 from random import Random
 
-SHAPES = ("steady", "poisson", "ramp", "surge")
-
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
--- a/ivystack/mesh/mesh.py
+++ b/ivystack/mesh/mesh.py
@@ -74,7 +74,6 @@
         self.calling: set[str] = set()
         self.failures: dict[str, int] = {}
         self.takers: dict[str, Callable[[str, Any], None]] = {}  # by a message's kind
-        self.watchers: list[Callable[[str, bool], None]] = []  # told of a peer that is up or down
         self.counts: dict[str, int] = {}  # what was dropped, since the last line about it
         self.total: dict[str, int] = {}
         self.next_line: list | None = None
@@ -154,8 +153,6 @@
             self.failures[link.peer] = 0
         if len(links) == 1:
             logger.info("mesh up peer={} key={}", link.peer, link.key)
-            for watcher in self.watchers:
-                watcher(link.peer, True)
 
     def went(self, link: Link) -> None:
         self.open.pop(link, None)
@@ -165,8 +162,6 @@
             links.remove(link)
             if not links:
                 del self.peers[link.peer]
-                for watcher in self.watchers:
-                    watcher(link.peer, False)
         if link.dialed:
             self.failed(link.peer)
 
