No class is shut out: full tables are no jam, a floor by class, hopeless reqs nacked at once

With these mended, six write-outs in ten were of clients that give up before any answer can come. Change: FULL to a connection's first write-out (told by net/nodes.py) moves no share and is told to nobody; the node gets no new connection for 0.5 s, and how long idle ones stay settles by how many are turned away. Three reqs in four rank as one of a class drawn from the last, if worth more. Rank falls with the chance of an answer in the time left, and a req without any is nacked at once but one in fifty. A write-out in doubt is told to peers. Not kept: write-outs cut short held against nothing; the common share by what is known of nodes; slower shares (design.md).

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -45,8 +45,7 @@
     """For each slot l a whole number in 0..l, in so many parts: the key's hash, taken apart by remainders.
 
     32 digits use up under 400 of a block's 512 bits while slots stay below 4096, 16 in 64 parts under 300, so
-    each is even to within 2^-100; Python's own hash is salted a process and would part the proxies.
-    """
+    each is even to within 2^-100; Python's own hash is salted a process and would part the proxies."""
     found: list[int] = []
     step = 32 if parts == 1 else 16
     for block in range(0, count, step):
@@ -61,22 +60,15 @@
     Replica r is at the highest slot l >= k whose digit is r, else at slot r: so walk down from the last slot
     and stop when all are found.  The spare follows the next digit value, k, over slots that no replica has.
     """
-    k = min(k, len(found))
-    place: list[int | None] = [None] * k
-    spare, left = None, k
+    k, place = min(k, len(found)), {}
     for slot in range(len(found) - 1, k - 1, -1):
-        digit = found[slot]
-        if digit < k:
-            if place[digit] is None:
-                place[digit] = slot
-                left -= 1
-        elif digit == k and spare is None:
-            spare = slot
-        if not left and spare is not None:
-            break
-    taken = [r if slot is None else slot for r, slot in enumerate(place)]
-    if spare is None:
-        spare = next((slot for slot in range(k, -1, -1) if slot < len(found) and slot not in taken), None)
+        if found[slot] <= k:
+            place.setdefault(found[slot], slot)
+            if len(place) > k:
+                break
+    taken = [place.get(r, r) for r in range(k)]
+    free = (slot for slot in range(k, -1, -1) if slot < len(found) and slot not in taken)
+    spare = place.get(k, next(free, None))
     return taken if spare is None else [*taken, spare]
 
 
@@ -84,9 +76,7 @@
     """Which caches a key lives on: slots in order of first start, a walk down the key's digits."""
 
     KEPT = 4_000  # keys' places: about 1 MB.  A list change that moves a slot drops them all.
-    # A cache that left unasked (it crashed) keeps its slot this long: longer than the outages of the brief's
-    # troubles, so that one coming back finds its keys; one that never returns costs its share of spares.
-    AWAITED = 40_000_000
+    AWAITED = 40_000_000  # a cache that left unasked (crashed) keeps its slot: longer than outages
     K = 2  # replicas of a key: 3 was tried, and leaves each cache less room for keys of its own
     MOST = 3  # places of a key, its spare included: the design page's
     PARTS = 64  # of a digit: with whole ones a far smaller slot gets one replica's keys or none
@@ -142,8 +132,7 @@
         """Quasi-digits (section V): slot l takes [0, k p_l) of the draw, in k equal parts, one a replica.
 
         The printed [0, p_l) would move k times too little.  A slot due more than every key once (k p_l > 1)
-        takes every key.  The next p_l of the draw names the spare.
-        """
+        takes every key.  The next p_l of the draw names the spare."""
         quasi, total = [], 0.0
         for slot, digit in enumerate(found):
             weight = self.slots[slot].weight
@@ -177,9 +166,7 @@
 
     FAILED = 2  # in a row: one can be chance, and each further one costs a req its time
     PAUSE = 500_000  # before a down node's first trial; doubled a trial, up to eight times that
-    # Own reqs passed by before that, doubled alike: where hundreds of proxies meet a node every several
-    # seconds each, any pause is over at the next req, and their trials would be its usual load.
-    PASSED = 2
+    PASSED = 2  # own reqs passed by before that, doubled alike: guards a node against hundreds' trials
 
     def up(self, node: Node) -> bool:
         return node.failures < self.FAILED
@@ -212,8 +199,7 @@
     """Tells zones out of reach from here: a slow or lossy way, or all of a zone's nodes at fault.
 
     Guards reqs against homes that are well, and content with their own zone's proxies, but can't answer us in
-    time.  Judged as a node is, by bad endings in a row; never so that no zone is left.
-    """
+    time.  Judged as a node is, by bad endings in a row; never so that no zone is left."""
 
     ROW = 8  # over all of its nodes: far more than chance or one sick node gives
 
@@ -227,12 +213,12 @@
         elif one.failures >= self.ROW:
             one.failures = self.ROW - 1  # on trial still
         else:
-            one.failures, one.trials, one.trial_at = 0, 0, 0
+            self.zones[zone] = Errors()
 
     def far(self, zone: str, now: int) -> bool:
         one = self.zones.get(zone)
-        bad = one is not None and one.failures >= self.ROW and now < one.trial_at
-        return bad and any(other.failures < self.ROW for other in self.zones.values())
+        bad = one and one.failures >= self.ROW and now < one.trial_at
+        return bool(bad) and any(other.failures < self.ROW for other in self.zones.values())
 
     def sent(self, zone: str, now: int) -> None:
         """One that went to a far zone is its trial: the next one waits."""
@@ -249,8 +235,7 @@
     """Tells a node's size from its load in such a weight, size / (1 + reqs held a core).
 
     Guards keys and proxies against sizes that move with each list: the greatest weight that a kind has shown
-    is its size, since one at rest shows it, and a proxy that starts late finds the same.
-    """
+    is its size, since one at rest shows it, and a proxy that starts late finds the same."""
 
     STEPS = 4  # of sizes, a doubling: noise and what a kind still lacks of its size move no key
     AGE = 3_000_000  # a load counts in full when listed and not at all so much later: some lists on
@@ -292,8 +277,7 @@
     """A cold node is open to the part of its reqs that it can be counted on for, whoever sends them.
 
     Guards against pushing it over: each req draws its luck once, so all proxies' loads together are that part
-    of the node's usual load, however many they are and whatever they know; nothing is saved up.
-    """
+    of the node's usual load, however many they are and whatever they know; nothing is saved up."""
 
     def __init__(self, cold_share: float, cold: int, fall: float):
         self.share, self.cold = cold_share, cold
@@ -324,24 +308,16 @@
     CLOSED = 0.02  # of our reqs still go out, else slow errors or full nodes would close all for good
     START = 12.0  # of a window: so that the least worth still has one place at a node that shows no strain
     REST = 0.125  # of a latency budget, between write-outs, over the window, when that is below one
-    # Of a small window, an answer, times those in a row: half of them timing out hold it down, as in a jam,
-    # not the one in eight that cold keys may bring at any load.
-    GROWTH, QUICK = 0.1, 4  # QUICK: times faster, where no share has fallen; 1, 8 and 16 were tried
+    GROWTH, QUICK = 0.1, 4  # of a small window, an answer, times those in a row; faster where no share fell
     NUDGE = 0.25  # off a cache's that answered what was sent later: a lost connection, or long work, no jam
-    FALL = 0.25  # of the window is left after a jam, shown by write-outs that ran out of time; half was tried
-    # Of the share of a node met seldom, by own and peers' time-outs: with 0.5 forty proxies, which had seen
-    # one each, went on feeding the jam.  A proxy that meets a node often has its windows to go by.
-    FALL_SHARE = 0.35
-    # Of the common share: one in eleven out of time leaves all, one in four a third, one in two a tenth.
-    FALL_ALL, BACK_ALL = 0.8, 0.02
+    FALL = 0.25  # of the window is left after a jam, shown by write-outs that ran out of time
+    FALL_SHARE = 0.35  # of that of a node met seldom, by own and peers' time-outs: forty fed a jam with 0.5
+    FALL_ALL, BACK_ALL = 0.8, 0.02  # of the common share: one in eleven out of time leaves all of it
     BACK = 0.15  # of a node's share with an answer: one in five out of time leaves all, one in two a third
-    # Of both is left after a slow answer; elsewhere than aside it may be a miss, so two in a row have to be.
-    EBB, SLOW_ASIDE, SLOW = 0.92, 0.5, 0.75
+    EBB, SLOW_ASIDE, SLOW = 0.92, 0.5, 0.75  # left of both after a slow answer; in through mode after two
     LEFT = 0.7  # of an origin's window, when one of its answers has waited longer than it may
     TIMES = 12  # its last answers'; with 32 a way that has grown long was taken for a wait for too long
-    # Of a node's share with a hit that took such a part of the budget: work alone does not, so it has queued,
-    # well before any runs out of time.  0.25 to 0.6 of the budget and 0.5 to 0.85 left were tried.
-    SLOW_HIT, FALL_HIT = 0.4, 0.7
+    SLOW_HIT, FALL_HIT = 0.4, 0.7  # of a node's share with a hit that took such a part of the budget: a queue
     FRESH = 500_000  # what the node itself showed this lately goes before what all show: some answers' time
 
     def __init__(self):
@@ -374,8 +350,7 @@
     def origin_answered(self, node: Node, spent: int, budget: int, sent: int, now: int) -> None:
         """Its window goes by the wait there: what an answer took beyond the quickest of the last.
 
-        Guards an origin that all share against proxies that fill its queue until every fetch is too late.
-        """
+        Guards an origin that all share against proxies that fill its queue until every fetch is too late."""
         node.times = (*node.times[1 - self.TIMES :], spent)
         if not self.waited(node, spent, budget):
             if node.in_flight + 1 >= node.window / 2:
@@ -385,8 +360,7 @@
             node.window = max(2.0, min(node.window, node.in_flight + 1) * self.LEFT)
 
     def waited(self, node: Node, spent: int, budget: int) -> bool:
-        """A whole latency budget beyond the quickest of the last, so that it was too late for its client
-        however long the way; half and three quarters were tried and took too much off a light proxy's."""
+        """A whole latency budget beyond the quickest of the last: too late, however long the way."""
         return spent - min(node.times, default=0) > budget
 
     def told(self, node: Node, well: bool, left: float = FALL_SHARE) -> None:
@@ -417,11 +391,15 @@
     NEW = 4  # reqs below each by assumption: the first after a start has nothing to be ranked among, and goes
     ALIKE = 8  # reqs: a light proxy's first dozens tell little of who sends more than its share
     KEYS = 1000  # last answered ones that a cache will mostly still hold
+    # Of reqs, rank as one of a class drawn from the last, if that is worth more: guards classes against being
+    # shut out by rank for as long as a strain lasts.  A miss still ranks as one, excess as excess.
+    FLOOR = 0.75
     MISS = 0.2  # of its worth for the rest: a miss costs the origin, and holds a place while it is fetched
 
     def __init__(self, rng: Random, tenants: list[Tenant], excess: float, parts: int):
         self.rng, self.tenants, self.excess, self.parts = rng, tenants, excess, parts
         self.worths: deque[float] = deque()
+        self.asked: deque[float] = deque(maxlen=self.KEPT)  # worths of their classes
         self.ordered: list[float] = []  # the same: looking at each for each req took an eighth of our time
         self.last: deque[tuple[Tenant, int]] = deque()  # whose req came when
         self.seen: OrderedDict[int, bool] = OrderedDict()
@@ -435,9 +413,9 @@
     def within(self, tenant: Tenant, now: int) -> float:
         """The part of a tenant's traffic that its share covers.  We see an unknown part of all traffic: the
         middle tenant's rate over its allowance is it."""
-        due = sum(t.allowance for t in self.tenants)
         if not tenant.allowance:
             return 1.0
+        due = sum(t.allowance for t in self.tenants)
         rate = len(self.last) * 1_000_000 / max(1, now - self.last[0][1])
 
         def part(t: Tenant) -> float:  # of its allowance that comes here, as if ALIKE more came in proportion
@@ -452,16 +430,19 @@
         if len(self.seen) > self.KEYS:
             self.seen.popitem(last=False)
 
-    def part_of_window(self, req: Req, now: int) -> float:
-        worth = req.method.criticality
+    def part_of_window(self, req: Req, now: int, chance: float = 1.0) -> float:
+        worth = own = req.method.criticality
+        if self.asked and self.rng.random() < self.FLOOR:
+            worth = max(worth, self.rng.choice(self.asked))
+        self.asked.append(own)
         if req.tenant:
             self.came(req.tenant, now)
             if self.rng.random() > self.within(req.tenant, now):
-                worth *= self.excess
+                worth = own * self.excess
                 req.calm = 1 - self.excess  # the less it is worth, the less strain it may add to
         if req.key not in self.seen:
             worth *= self.MISS
-        worth *= 1 + 0.01 * self.rng.random()  # equals are parted by chance
+        worth = max(worth, 1e-9) * chance * (1 + 0.01 * self.rng.random())  # equals are parted by chance
         below = bisect_left(self.ordered, worth)
         self.worths.append(worth)
         self.ordered.insert(below, worth)
@@ -477,15 +458,27 @@
     """Closes idle connections early where proxies are many, so that those of all fit a node's table.
 
     Guards against tables filled by idle ones: a node then refuses every proxy that has none.  Open ones are
-    at most a node's reqs a second times `keep`, whatever the number of proxies.
-    """
+    at most a node's reqs a second times `keep`, whatever the number of proxies."""
 
-    FEW = 16  # proxies whose connections may stay as long as the nodes let them; 400 keep them 1/25 of that
+    FEW = 16  # proxies whose connections may stay as long as the nodes let them; 400 begin with 1/25 of that
+    LEFT, BACK = 0.8, 1.005  # of `keep`, when a new one is turned away, or taken: settles at one in forty
+    AWAY = 500_000  # without a new one to a node that turned one away: some places are free again by then
 
     def __init__(self, idle: int, proxies: int):
-        self.keep = idle * self.FEW // proxies if proxies > self.FEW else 0  # 0: for the nodes to close
+        self.most = idle if proxies > self.FEW else 0
+        self.first = self.keep = self.most * self.FEW // proxies  # 0: for the nodes to close
         self.idle: OrderedDict[Node, int] = OrderedDict()  # since when, oldest first
 
+    def turned_away(self, node: Node, now: int) -> None:
+        node.crowded = now
+        self.keep = max(self.AWAY // 8, int(self.keep * self.LEFT))
+
+    def taken(self) -> None:
+        self.keep = min(self.most, int(self.keep * self.BACK) + 1)
+
+    def crowded(self, node: Node, now: int) -> bool:
+        return now < node.crowded + self.AWAY and not node.in_flight and node not in self.idle
+
     def freed(self, node: Node, now: int) -> None:
         if self.keep and not node.in_flight:
             self.idle[node] = now
@@ -508,8 +501,7 @@
     """Tells some peers now and then how our last write-outs to each node ended, and takes in what they tell.
 
     Guards against learning of a full or hung node by hundreds of proxies one by one.  It moves known nodes'
-    shares alone, as one write-out of ours would, so a lost, late, repeated or wrong message does little.
-    """
+    shares alone, as one write-out of ours would, so a lost, late, repeated or wrong message does little."""
 
     EVERY = 250_000  # well below the time in which forty proxies, none of which has seen it, jam a node
     SOON = 30_000  # one with a bad ending: a jam grows by what comes meanwhile, and endings come in bursts
@@ -563,13 +555,11 @@
 
     def due(self, now: int) -> list[Req]:
         said, self.replies = [*self.replies], deque(maxlen=256)
-        if self.grown_at is None:
-            self.grown_at = now + self.YOUNG
+        self.grown_at = self.grown_at or now + self.YOUNG
         if self.next_at is not None and now >= self.next_at:
-            self.next_at, self.parts = now + self.EVERY, {}
-            if now >= self.grown_at:
-                self.next_at = None
-            else:
+            self.next_at, self.parts = None, {}
+            if now < self.grown_at:
+                self.next_at = now + self.EVERY
                 asked = self.rng.sample(self.others, min(self.TO, len(self.others)))
                 said += [(peer, question(self.me)) for peer in asked]
         return [Req(None, now, now, saying=one) for one in said]
@@ -589,8 +579,7 @@
     """Says when the list's service is called: at the start, and again after a call or a watch has failed.
 
     Guards a service of fixed capacity against a whole fleet's calls at once, of which most would fail, and a
-    proxy against being held to news that it never asked for.
-    """
+    proxy against being held to news that it never asked for."""
 
     def __init__(self, rng: Random, least: int, most: int):
         self.rng, self.least, self.most = rng, least, most
@@ -619,9 +608,10 @@
     SKIP = 2.0  # times the mean in flight a cache: the design page's; 1.5 and 3 were tried
     FURTHER = 0.15  # further write-outs and second copies earned by each satisfied req
     FURTHER_MOST = 20.0  # and kept at most: enough for what a dying node held
-    # Of reads, to their key's first replica: more with each that finds no room at the origin, less with each
-    # that finds some.  Guards an origin that can't bear two copies' fetches.
+    # Of reads, to their key's first replica, with each that finds no room at the origin, or some: guards an
+    # origin that can't bear two copies' fetches.
     LEAN, LEAN_OFF = 0.05, -0.005
+    HOPELESS = 0.05  # chance of an answer in time, below which hardly any req goes out: shown by 20 answers
     MARGIN = 2  # ticks that an answer needs to get back to the client in time
 
     def __init__(
@@ -701,7 +691,10 @@
         if not req.ranked:
             req.ranked, req.luck = True, self.rng.random()
             self.popular.last.append(req.key)
-            req.part = self.shares.part_of_window(req, now)
+            chance = self.chance(req.method, end - now)
+            req.part = self.shares.part_of_window(req, now, chance)
+            if chance < self.HOPELESS and req.luck > Room.CLOSED:
+                return self.never(req)
         again = bool(req.write_outs) and req.write_outs[-1].outcome not in NEVER_RAN
         spent = now >= end or len(req.write_outs) >= self.most or (out and not self.may_duplicate)
         if spent or (again and self.spare < 1):
@@ -717,8 +710,7 @@
         if sick:
             self.health.failed(sick, False, now)
         req.write_outs.append(write_out)
-        node.in_flight += 1
-        node.sent = now
+        node.in_flight, node.sent = node.in_flight + 1, now
         self.ways.sent(node.zone, now)
         self.links.idle.pop(node, None)
         self.in_flight += 1
@@ -736,28 +728,30 @@
         write_out.outcome = outcome
         if self.live and load:
             self.live.reported(node, load, now)
-        node.in_flight -= 1
-        self.in_flight -= 1
+        node.in_flight, self.in_flight = node.in_flight - 1, self.in_flight - 1
         self.links.freed(node, now)
         spent = now - write_out.sent
         often = now < node.heard + self.room.FRESH  # a node met often shows soon whether this was chance
         node.heard = now
+        # Guards good nodes, here and at peers: tables that idle connections fill are no jam.
+        away = outcome == FULL and write_out.fresh and self.many
         # Not in a small fleet that tells no loads: leaving a zone of it, merely loaded, jams the rest.
         judged = not origin and (self.many or self.live)
         if judged and outcome in (SATISFIED, MISSED, OVERDUE, REFUSED, SEVERED):
             soon = spent <= self.room.SLOW_ASIDE * method.latency_budget
             self.ways.ended(node.zone, soon and outcome in (SATISFIED, MISSED))
         if outcome in (SATISFIED, MISSED):
+            if write_out.fresh:
+                self.links.taken()
             for one in {node, node.errors.get(method, node)}:
                 self.health.answered(one, now)
             node.proven = max(node.proven, write_out.sent)
             method.times.append(spent)
             aside = self.origin_kind not in (-1, node.kind)
             part = self.room.SLOW_ASIDE if aside else self.room.SLOW
-            slow, before = spent > part * method.latency_budget, node.slow
+            before, node.slow = node.slow, spent > part * method.latency_budget
             late = hit and not aside and spent > self.room.SLOW_HIT * method.latency_budget
             well = not late or (often and not self.many)  # a busy proxy's windows show its queues
-            node.slow = slow
             if spent > method.latency_budget and node.load > Live.REST and now < node.load_at + Live.AGE:
                 self.room.ran_out(node, origin, True, often, write_out.sent, now)
             elif origin:
@@ -766,8 +760,9 @@
             elif not well:
                 self.room.told(node, False, self.room.FALL_HIT)
             else:  # else it is long work
-                self.room.answered(node, slow and (aside or before and (self.many or not often)))
+                self.room.answered(node, node.slow and (aside or before and (self.many or not often)))
             if outcome == SATISFIED:
+                method.took.append(spent)
                 self.spare = min(self.FURTHER_MOST, self.spare + self.FURTHER)
                 self.shares.answered(req.key)
         elif outcome == OVERDUE and 2 * (write_out.until - write_out.sent) < method.latency_budget:
@@ -790,41 +785,41 @@
             # An origin that refuses is full of all proxies' reqs, and there is no other: guards what is left.
             if outcome == OVERDUE or origin:
                 self.room.ran_out(node, origin, self.health.up(node), often, write_out.sent, now)
+        elif away:
+            self.links.turned_away(node, now)
         elif outcome == FULL and not self.live:
             self.room.ran_out(node, origin, self.health.up(node), often, write_out.sent, now)
         elif outcome == FULL:  # where loads are told it tells of that moment alone, and nothing of others
             cold = self.cold.warmth(node, now) < 1  # what it turns away counts towards its fall
             self.room.told(node, False, self.room.FALL_SHARE if cold else self.room.FALL_ALL)
-        if self.hearsay and outcome not in (RECALLED, SUPERSEDED):
+        if self.hearsay and outcome not in (RECALLED, SUPERSEDED) and not away:
             self.hearsay.note(node, 0 if outcome not in (SATISFIED, MISSED) else 1 if well else 2, now)
         out = [w for w in req.write_outs if w.outcome is None]
         if outcome in (SATISFIED, UNFIT) or req.over:
             return (DONE if outcome != UNFIT or req.over else FAIL, None, 0), out
-        if out:
-            return (WAIT, None, 0), []
-        if now >= self.end(req) or not self.may_send_again(req, now):
+        if not out and (now >= self.end(req) or not self.may_send_again(req, now)):
             return self.never(req), []
-        self.further.append(req)
+        self.further += [] if out else [req]
         return (WAIT, None, 0), []
 
     def wait(self, now: int) -> tuple[int | None, list[Req]]:
         while self.due and self.due[0][0] <= now:
             req = heapq.heappop(self.due)[2]
-            if req.over:
-                continue
-            if req.write_outs:
-                self.doubt(req)
-                self.further.append(req)
-            else:
-                self.first.append(req)
-        ready = [*self.first, *self.further, *self.links.due(now)]
-        for talk in (self.hearsay, self.order):
-            ready += talk.due(now) if talk else []
+            if not req.over:
+                self.doubt(req, now)
+                (self.further if req.write_outs else self.first).append(req)
+        talks = [talk for talk in (self.hearsay, self.order) if talk]
+        ready = [*self.first, *self.further, *self.links.due(now), *(r for t in talks for r in t.due(now))]
         self.first, self.further = deque(), deque()
-        standing = [self.links.rest(), *(talk.next_at for talk in (self.hearsay, self.order) if talk)]
+        standing = [self.links.rest(), *(talk.next_at for talk in talks)]
         next_at = [at for at in (self.due[0][0] if self.due else None, *standing) if at is not None]
         return (min(next_at) - now if next_at else None), ready
 
+    def chance(self, method: Method, left: int) -> float:
+        """The part of its last answers that came in such a time.  Guards nodes that work on when a client has
+        gone against clients that give up before any answer can come: all their reqs' work is for nothing."""
+        return (1 + sum(took <= left for took in method.took)) / (1 + len(method.took))
+
     def end(self, req: Req) -> int:
         """When an answer is worth nothing any more, or nobody waits for it."""
         end = req.give_up_at
@@ -844,8 +839,8 @@
     def until(self, req: Req, node: Node, now: int, end: int) -> int:
         last = len(req.write_outs) + 1 >= self.most or node.kind == self.origin_kind  # no other is there
         if self.fills(req, node):
-            # Guards the caches while the origin is slow: given up, a fetch leaves no copy.  Twice what the
-            # slowest of the last took: one that was lost would hold a place for nothing.
+            # Guards the caches while the origin is slow: given up, a fetch leaves no copy.  Twice the slowest
+            # of the last: one that was lost would hold a place for nothing.
             usual = 2 * max(node.times, default=end - now)
             return max(end, min(now + usual, req.give_up_at - self.MARGIN * self.tick))
         if self.may_duplicate or not self.repeatable(req) or last:
@@ -939,11 +934,11 @@
             return up and req.luck < warmth and self.within_group(req, node)
 
         def jammed(node: Node) -> bool:
-            down = not self.health.up(node) and not node.broken
-            return node.state == READY and down and not self.ways.far(node.zone, now)
+            down = node.state == READY and not self.health.up(node) and not node.broken
+            return down and not self.ways.far(node.zone, now)
 
         def able(node: Node) -> bool:
-            has = self.room.has(node, req.part, now, req.calm, rest)
+            has = self.room.has(node, req.part, now, req.calm, rest) and not self.links.crowded(node, now)
             return has and there(node) and not self.queued(node, req.method, now)
 
         # Trial: a down node whose pause is over gets one retryable req of its own keys, or of its bad method.
@@ -982,12 +977,16 @@
         bound = max(self.live.REST, self.SKIP * self.live.mean)
         return self.rng.random() * self.live.load(node, now) > bound
 
-    def doubt(self, req: Req) -> None:
-        """A write-out that outlasts patience counts against its node at once: a silent one is fed no more."""
+    def doubt(self, req: Req, now: int) -> None:
+        """A write-out that outlasts patience counts against its node at once: a silent one is fed no more.
+        Where peers may talk they learn of a queue while it still grows."""
         for write_out in req.write_outs:
             if write_out.outcome is None and not write_out.doubted and not self.passed_by(write_out):
                 write_out.doubted = True
                 self.health.failed(write_out.node, False, write_out.sent)
+                if self.hearsay and self.many:
+                    self.room.told(write_out.node, False, self.room.FALL_HIT)
+                    self.hearsay.note(write_out.node, 2, now)
 
     def passed_by(self, write_out: WriteOut) -> bool:
         """The node, no origin, has answered what went out after this: it is not behind that this is late."""
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -72,6 +72,7 @@
     in_time: int = 0  # answers in a row
     slow: bool = False  # the last answer was, for its latency budget
     cut: int = 0  # when the window fell last
+    crowded: int = -1_000_000_000  # when it last turned away a new connection of ours
     window: float = 0.0  # own write-outs it bears at once
     times: tuple[int, ...] = ()  # an origin's last answers'
     load: float = 0.0  # reqs that it held a core, as told last
@@ -89,6 +90,7 @@
     window: int = 0  # and for how long
     tardy: float = 0.0  # what an answer after the latency budget is worth
     times: deque = field(default_factory=lambda: deque(maxlen=64))  # its last write-outs' times
+    took: deque = field(default_factory=lambda: deque(maxlen=64))  # those of them that were answered
 
 
 @dataclass(eq=False, slots=True)
@@ -126,6 +128,7 @@
     until: int
     outcome: str | None = None  # None: still out
     doubted: bool = False  # its lateness was already held against the node
+    fresh: bool = False  # the first on its connection, where the caller knows of these
     trial: bool = False
 
 
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -272,6 +272,7 @@
 
     def write(self, link: Link, sending: Sending) -> None:
         sending.link = link
+        sending.write_out.fresh = not link.carried  # a -BUSY then is of the node's table
         link.out.append(sending)
         link.carried += 1
         rest = max(1, (sending.write_out.until - self.now()) // 1000)
--- /dev/null
+++ b/ivystack/rig/swarm.py
@@ -0,0 +1,368 @@
+"""Many instances of the decisions before shared cache nodes, in virtual time: what a fleet does at once.
+
+Owns the virtual world: clients, proxies' timers, nodes' queues and copies, the origin behind them, and what
+became of each req by class.  It must never decide for a proxy, nor change what it settles: each proxy is a
+Choice made from settings, called as the network part calls it.  There are no sockets and no frames; of a
+connection only its place in a node's table is kept, one for each proxy that has any there.
+
+    swarm = Swarm(Random(1), loads, World(nodes=60, proxies=40, reqs_per_s=900))
+    swarm.play(10_000_000)
+    swarm.served()          # {"read": 0.81, ..}: satisfied in time of those asked for, all tries as one
+"""
+
+from __future__ import annotations
+
+import heapq
+from bisect import bisect
+from collections import Counter, OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import accumulate
+from random import Random
+
+from ..choice import Choice
+from ..model import (  # fmt: skip
+    FAIL, FULL, GO, LEFT, NACK, OVERDUE, READY, REFUSED, SATISFIED, Node, Req, WriteOut,
+)
+from ..settings import Settings
+
+S = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """A class of reqs: its part of all, a req's work in microseconds of a core, and what settings state."""
+
+    name: str
+    part: float
+    work: int
+    criticality: float
+    budget: int
+    semantics: str = "pure"
+    proxies: int | None = None  # only so many send it
+    tenant: str | None = None
+
+    def sheet(self) -> dict:
+        return {
+            "name": self.name, "criticality": self.criticality, "semantics": self.semantics, "group": "all",
+            "latency_budget": self.budget * 1000, "give_up": 2 * self.budget * 1000, "window": 12 * S * 1000,
+        }  # fmt: skip
+
+
+@dataclass(slots=True)
+class World:
+    """Sizes and habits.  Times are microseconds, rates over the whole fleet."""
+
+    nodes: int
+    proxies: int
+    reqs_per_s: float
+    cores: int = 3
+    keys: int = 4000
+    way: int = 5_000  # from a proxy to a node
+    tries: int = 3  # a client's, its first among them
+    pause: int = 100_000  # before it comes again
+    hurried: float = 0.0  # of the clients give up after a twentieth of the budget, and are not counted
+    spread: float = 1.0  # of the proxies' rates: the deviation of a lognormal's logarithm
+    copies: int = 400  # that a node keeps
+    hits: float = 0.9  # of the keys that a warm node is asked for first, so many it has
+    fetch: int = 100_000  # what the origin takes for one
+    fetches: int = 60  # that it does at a time
+    cold: int = 6 * S  # until a node is warm
+    cold_share: float = 0.3
+    table: int = 1 << 30  # connections that a node holds: beyond, new ones are turned away
+    write_outs: int = 3
+    peers: bool = True
+    tenants: dict[str, float] = field(default_factory=dict)  # and what each is allowed, a second
+    excess: float = 0.1
+    chance: Random = field(default_factory=lambda: Random(3))
+
+
+class Server:
+    """A cache node: cores that do one req each, in order, late ones too, and the copies that it keeps."""
+
+    def __init__(self, name: str, world: World, started: int = 0):
+        self.name, self.world, self.started = name, world, started
+        self.free = [0] * world.cores  # when each core is
+        self.keeps: OrderedDict[int, None] = OrderedDict()
+        self.held: set[Proxy] = set()  # whose connections it has
+        self.hung = self.gone = False
+        self.slow = 1.0
+
+    def warmth(self, now: int) -> float:
+        if not self.started:
+            return 1.0
+        least = self.world.cold_share
+        return min(1.0, least + (1 - least) * (now - self.started) / self.world.cold)
+
+    def done_at(self, work: float, key: int, now: int, origin: Origin) -> int:
+        core = min(range(len(self.free)), key=self.free.__getitem__)
+        start = max(now, self.free[core])
+        if key not in self.keeps:
+            if self.started or self.world.chance.random() > self.world.hits:
+                start = origin.fetched_at(start)  # a miss holds its place
+            self.keeps[key] = None
+            if len(self.keeps) > self.world.copies:
+                self.keeps.popitem(last=False)
+        else:
+            self.keeps.move_to_end(key)
+        self.free[core] = start + round(work * self.slow / self.warmth(now))
+        return self.free[core]
+
+
+class Origin:
+    """What all nodes fetch from: so many fetches at a time, in order."""
+
+    def __init__(self, world: World):
+        self.world = world
+        self.free = [0] * world.fetches
+        self.fetches = 0
+
+    def fetched_at(self, now: int) -> int:
+        start = max(now, heapq.heappop(self.free))
+        heapq.heappush(self.free, start + self.world.fetch)
+        self.fetches += 1
+        return start + self.world.fetch
+
+
+@dataclass(eq=False, slots=True)
+class Asked:
+    """What a client wants, over all its tries."""
+
+    load: Load
+    key: int
+    proxy: int
+    hurried: bool
+    since: int
+    tries: int = 0
+
+
+class Proxy:
+    """One instance with its timer; `settings` makes it anew at a restart."""
+
+    def __init__(self, swarm: Swarm, number: int, nodes: list[Node], now: int):
+        self.swarm, self.number = swarm, number
+        settings = Settings(swarm.rng.getrandbits(60), swarm.sheet(number))
+        self.choice: Choice = settings.choice
+        self.methods, self.tenants = settings.methods, settings.tenants
+        self.alarm: int | None = None
+        self.out: dict[WriteOut, Asked] = {}
+        self.asked: dict[Req, Asked] = {}
+        self.dead = False
+        self.choice.listed(nodes, True, now)
+
+
+class Swarm:
+    """All of it.  `at(time, call)` puts a fault or a change of the list on the clock."""
+
+    def __init__(self, rng: Random, loads: list[Load], world: World):
+        self.rng, self.loads, self.world = rng, loads, world
+        self.now, self.count = 1_000 * S, 0
+        self.begun = self.now
+        self.due: list[tuple[int, int, Callable]] = []
+        self.servers = {name: Server(name, world) for name in (f"n{i:04}" for i in range(world.nodes))}
+        self.origin = Origin(world)
+        # Zipf's law with an offset: the most popular key has some hundredth of the reqs.
+        self.popular = [*accumulate(1 / (rank + 5) for rank in range(world.keys))]
+        rates = [rng.lognormvariate(0, world.spread) for _ in range(world.proxies)]
+        self.rates = [rate / sum(rates) * world.reqs_per_s for rate in rates]
+        self.listed = {name: Node(name) for name in self.servers}
+        self.proxies = [Proxy(self, i, self.list(), self.now) for i in range(world.proxies)]
+        self.asked: Counter[tuple[str, int]] = Counter()  # by class and second
+        self.in_time: Counter[tuple[str, int]] = Counter()
+        self.ends: Counter[tuple[str, str]] = Counter()  # by class and how a try ended
+        self.most_runs = 0  # of a req whose effect must not come twice
+        for number in range(world.proxies):
+            for load in loads:
+                self.next_req(number, load)
+
+    def sheet(self, number: int) -> dict:
+        world = self.world
+        limits = {"most_write_outs": world.write_outs, "may_duplicate": True, "conn_idle": 60 * S * 1000}
+        limits |= {"peers": world.peers, "retry_after": True, "max_retry_after": 1_200_000_000}
+        return {
+            "methods": [load.sheet() for load in self.loads], "limits": limits, "n_instances": world.proxies,
+            "parties": [{"name": n, "allowance_per_s": a} for n, a in world.tenants.items()],
+            "excess_criticality": world.excess, "slot_no": number, "granularity": 5_000_000,
+            "rules": {"cold": world.cold * 1000, "cold_share": world.cold_share, "overload_factor": 4},
+        }  # fmt: skip
+
+    def list(self) -> list[Node]:
+        return [Node(n.name, state=n.state, started=n.started) for n in self.listed.values()]
+
+    def at(self, time: int, call: Callable, *given) -> None:
+        self.count += 1
+        heapq.heappush(self.due, (time, self.count, lambda: call(*given)))
+
+    def play(self, span: int) -> None:
+        end = self.now + span
+        while self.due and self.due[0][0] <= end:
+            self.now, _, call = heapq.heappop(self.due)
+            call()
+        self.now = end
+
+    # Clients.
+
+    def next_req(self, number: int, load: Load) -> None:
+        senders = load.proxies or self.world.proxies
+        if number >= senders:
+            return
+        mean = self.rates[number] if load.proxies is None else self.world.reqs_per_s / senders
+        rate = mean * load.part
+        self.at(self.now + round(self.rng.expovariate(rate) * S), self.asks, number, load)
+
+    def asks(self, number: int, load: Load) -> None:
+        self.next_req(number, load)
+        key = bisect(self.popular, self.rng.random() * self.popular[-1])
+        hurried = self.rng.random() < self.world.hurried
+        self.asked[load.name, (self.now - self.begun) // S] += not hurried
+        self.try_again(Asked(load, key, number, hurried, self.now))
+
+    def try_again(self, asked: Asked) -> None:
+        proxy = self.proxies[asked.proxy]
+        if proxy.dead:
+            return self.ended(asked, "down")
+        asked.tries += 1
+        method = proxy.methods[asked.load.name]
+        give_up = self.now + (asked.load.budget // 20 if asked.hurried else 2 * asked.load.budget)
+        req = Req(method, self.now, give_up, asked.key, proxy.tenants.get(asked.load.tenant))
+        proxy.asked[req] = asked
+        self.carry(proxy, req, proxy.choice.where(req, self.now))
+        self.settle(proxy)
+
+    def ended(self, asked: Asked, how: str) -> None:
+        self.ends[asked.load.name, how] += 1
+        if how in (NACK, "down") and asked.tries < self.world.tries:
+            self.at(self.now + self.rng.randrange(self.world.pause * 2), self.try_again, asked)
+
+    # Proxies.
+
+    def carry(self, proxy: Proxy, req: Req, answer: tuple) -> None:
+        word, node, until = answer
+        if req.saying:
+            peer, words = req.saying
+            self.at(self.now + self.world.way, self.hears, peer, words)
+        elif req.closing:
+            self.servers[node.name].held.discard(proxy)
+        elif word == GO:
+            self.send(proxy, req.write_outs[-1], until)
+        elif word in (NACK, FAIL):
+            self.over(proxy, req, word)
+
+    def over(self, proxy: Proxy, req: Req, how: str) -> None:
+        if not req.over:
+            req.over = True
+            asked = proxy.asked.pop(req)
+            if how == SATISFIED:
+                well = self.now - req.arrived <= req.method.latency_budget
+                self.ends[asked.load.name, SATISFIED if well else "late"] += 1
+                self.in_time[asked.load.name, (asked.since - self.begun) // S] += well and not asked.hurried
+            else:
+                self.ended(asked, how)
+
+    def hears(self, peer: int, words: bytes) -> None:
+        proxy = self.proxies[peer]
+        if not proxy.dead:
+            proxy.choice.told(words, self.now)
+            self.settle(proxy)
+
+    def settle(self, proxy: Proxy) -> None:
+        while True:
+            rest, due = proxy.choice.wait(self.now)
+            if not due:
+                break
+            for req in due:
+                self.carry(proxy, req, proxy.choice.where(req, self.now))
+        if rest is not None and (proxy.alarm is None or self.now + max(rest, 1) < proxy.alarm):
+            proxy.alarm = self.now + max(rest, 1)
+            self.at(proxy.alarm, self.wake, proxy, proxy.alarm)
+
+    def wake(self, proxy: Proxy, alarm: int) -> None:
+        if proxy.alarm == alarm and not proxy.dead:
+            proxy.alarm = None
+            self.settle(proxy)
+
+    def send(self, proxy: Proxy, write_out: WriteOut, until: int) -> None:
+        self.at(until, self.after, proxy, write_out, OVERDUE)
+        self.at(self.now + self.world.way, self.comes, proxy, write_out)
+
+    def comes(self, proxy: Proxy, write_out: WriteOut) -> None:
+        server = self.servers.get(write_out.node.name)
+        if server is None or server.gone:
+            return self.at(self.now + self.world.way, self.after, proxy, write_out, REFUSED)
+        if server.hung or write_out.outcome is not None or proxy.dead:
+            return
+        write_out.fresh = proxy not in server.held
+        if write_out.fresh and len(server.held) >= self.world.table:
+            return self.at(self.now + self.world.way, self.after, proxy, write_out, FULL)
+        server.held.add(proxy)
+        asked = proxy.asked.get(write_out.req)
+        work = (asked.load.work if asked else self.loads[0].work) * self.rng.gammavariate(3, 1 / 3)
+        done = server.done_at(work, write_out.req.key, self.now, self.origin)
+        self.at(done + self.world.way, self.after, proxy, write_out, SATISFIED)
+
+    def after(self, proxy: Proxy, write_out: WriteOut, outcome: str) -> None:
+        if write_out.outcome is not None or proxy.dead:
+            return
+        answer, off = proxy.choice.after(write_out, outcome, self.now, None, outcome == SATISFIED)
+        if outcome == SATISFIED:
+            self.over(proxy, write_out.req, SATISFIED)
+        for other in off:
+            if other.outcome is None:
+                proxy.choice.after(other, "recalled", self.now)
+        if not write_out.req.over:
+            self.carry(proxy, write_out.req, answer)
+        self.settle(proxy)
+
+    # Faults and the list.
+
+    def tell(self, *names: str) -> None:
+        """All proxies' lists, each a little later than the one before: seconds are for the caller to add."""
+        for proxy in self.proxies:
+            news = [n for n in self.list() if n.name in names]
+            self.at(self.now + self.rng.randrange(200_000), self.hears_list, proxy, news)
+
+    def hears_list(self, proxy: Proxy, news: list[Node]) -> None:
+        if not proxy.dead:
+            proxy.choice.listed(news, False, self.now)
+            self.settle(proxy)
+
+    def replace(self, names: list[str]) -> None:
+        """New nodes in the place of these, which leave at once: cold, and with other names."""
+        fresh = []
+        for name in names:
+            self.servers[name].gone = True
+            self.listed[name].state = LEFT
+            new = f"{name}+"
+            self.servers[new] = Server(new, self.world, self.now)
+            self.listed[new] = Node(new, state=READY, started=self.now)
+            fresh.append(new)
+        self.tell(*names, *fresh)
+
+    def hang(self, names: list[str], on: bool = True) -> None:
+        for name in names:
+            self.servers[name].hung = on
+
+    def kill(self, numbers: list[int], back: int) -> None:
+        """Proxies die with what they hold, and come back knowing nothing but the list."""
+        for number in numbers:
+            self.proxies[number].dead = True
+            for server in self.servers.values():
+                server.held.discard(self.proxies[number])
+            self.at(self.now + back, self.restart, number)
+
+    def restart(self, number: int) -> None:
+        self.proxies[number] = Proxy(self, number, self.list(), self.now)
+        self.settle(self.proxies[number])
+
+    # What came of it.
+
+    def served(self, first: int = 0, last: int = 1 << 30) -> dict[str, float]:
+        """By class: the part satisfied in time of what was asked for in these seconds."""
+        found = {}
+        for load in self.loads:
+            asked, well = (
+                sum(n for (name, at), n in of.items() if name == load.name and first <= at < last)
+                for of in (self.asked, self.in_time)
+            )
+            found[load.name] = well / asked if asked else 1.0
+        return found
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -25,7 +25,7 @@
 
 Ns = Annotated[int, Meta(ge=0)] | None  # a span in nanoseconds
 Part = Annotated[float, Meta(ge=0, le=1)] | None
-Figure = Annotated[float, Meta(ge=0)] | None
+Figure = Annotated[float, Meta(ge=0, le=1e12)] | None  # finite: a worth beyond all others would have no rank
 Count = Annotated[int, Meta(ge=1)] | None
 
 
@@ -220,8 +220,9 @@
         ours.shares.excess, ours.shares.parts = theirs.shares.excess, theirs.shares.parts
         for name in ("share", "cold", "spill"):
             setattr(ours.cold, name, getattr(theirs.cold, name))
-        if ours.links.keep != theirs.links.keep:
-            ours.links.keep = theirs.links.keep
+        if ours.links.first != theirs.links.first:  # else what it has come to stays
+            for name in ("first", "most", "keep"):
+                setattr(ours.links, name, getattr(theirs.links, name))
             ours.links.idle.clear()
         self.take_peers(theirs)
         self.take_sizes(theirs)
@@ -244,7 +245,7 @@
                 continue
             former.append(old)
             if fresh is not None:  # what was seen of it goes on
-                fresh.times = old.times
+                fresh.times, fresh.took = old.times, old.took
                 for node in nodes:
                     if old in node.errors:
                         node.errors[fresh] = node.errors[old]
@@ -282,7 +283,7 @@
 
 def parts_of(one: Method) -> list:
     """All that a method says, without what was seen of it."""
-    return [getattr(one, name) for name in one.__slots__ if name != "times"]
+    return [getattr(one, name) for name in one.__slots__ if name not in ("times", "took")]
 
 
 def method(m: MethodSheet) -> Method:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -264,7 +264,7 @@
         made.where(one, one.arrived)
     made.after(quick.write_outs[0], SATISFIED, 30)
     before = node.window
-    made.doubt(late)
+    made.doubt(late, 30)
     made.after(late.write_outs[0], OVERDUE, S)
     assert before - 1 < node.window < before and (node.failures, node.share, made.room.common) == (0, 1, 1)
     made.after(behind.write_outs[0], OVERDUE, S + 20)  # a lone one at a node heard from just now: the same
--- /dev/null
+++ b/tests/test_swarm.py
@@ -0,0 +1,183 @@
+"""Whole fleets of the decisions before shared nodes: no class is shut out, whatever is strained."""
+
+from random import Random
+
+import pytest
+from helpers import S, choice, nodes, req
+
+from ivystack.choice import Links, Shares
+from ivystack.model import FULL, GO, SATISFIED, Req, Tenant
+from ivystack.rig.swarm import Load, Swarm, World
+
+MIX = [
+    Load("view", 0.54, 53_000, 5, 750_000),
+    Load("check", 0.39, 93_000, 3, 600_000),
+    Load("sign", 0.07, 150_000, 10, 1_200_000, "token"),
+]
+
+
+def played(loads, load=1.0, nodes=16, proxies=40, seconds=5, fault=None, **more):
+    """A fleet asked for so much of what its cores can do; with a `fault` to set up."""
+    mean = sum(one.part * one.work for one in loads) / sum(one.part for one in loads) / S
+    world = World(nodes=nodes, proxies=proxies, reqs_per_s=nodes * 3 / mean * load, **more)
+    swarm = Swarm(Random(5), loads, world)
+    if fault:
+        fault(swarm)
+    swarm.play(seconds * S)
+    return swarm
+
+
+def least_of_all(swarm):
+    """What the least served class gets of what all get, without the first second and the last."""
+    served = swarm.served(1, (swarm.now - swarm.begun) // S - 1)
+    every = sum(one.part * served[one.name] for one in swarm.loads) / sum(one.part for one in swarm.loads)
+    return min(served.values()) / every
+
+
+def restart_seven_in_ten(swarm):
+    def fault():
+        swarm.kill(swarm.rng.sample(range(swarm.world.proxies), swarm.world.proxies * 7 // 10), S // 2)
+
+    swarm.at(swarm.now + 2 * S, fault)
+
+
+def replace_six_in_ten(swarm):
+    names = swarm.rng.sample(sorted(swarm.servers), swarm.world.nodes * 6 // 10)
+    for part in range(3):
+        swarm.at(swarm.now + (1 + part) * S, swarm.replace, names[part::3])
+
+
+def hang_a_tenth(swarm):
+    swarm.at(swarm.now + S, swarm.hang, sorted(swarm.servers)[:: 10])
+
+
+@pytest.mark.parametrize("nodes, proxies, seconds", [(16, 40, 5), (50, 230, 4)])
+def test_no_class_is_shut_out_by_rank_when_more_is_asked_than_the_fleet_can_do(nodes, proxies, seconds):
+    swarm = played(MIX, 1.3, nodes, proxies, seconds)
+    assert least_of_all(swarm) > 0.6  # by rank alone 0.50 and 0.54
+    served = swarm.served(1)
+    assert served["sign"] > served["view"] > served["check"]  # rank shapes what is above the floor
+
+
+@pytest.mark.parametrize("worth", [3, 100])
+def test_two_classes_of_like_or_very_unlike_worth(worth):
+    loads = [Load("low", 0.5, 60_000, 1, 750_000), Load("high", 0.5, 60_000, worth, 750_000)]
+    swarm = played(loads, 1.3)
+    assert least_of_all(swarm) > 0.72  # by rank alone 0.71 and 0.64
+    assert swarm.served(1)["high"] > swarm.served(1)["low"]
+
+
+def test_one_class_alone_and_one_of_two_reqs_in_a_hundred():
+    alone = played([Load("only", 1.0, 60_000, 0, 750_000)], 1.3)
+    assert alone.served(1, 4)["only"] > 0.25  # of no worth: once all ranked below all, 0.07
+    loads = [Load("many", 0.98, 60_000, 5, 750_000), Load("few", 0.02, 60_000, 1, 750_000)]
+    assert least_of_all(played(loads, 1.3)) > 0.8  # by rank alone 0.57
+
+
+def test_a_non_retryable_class_while_a_tenth_of_the_nodes_hang():
+    loads = [MIX[0], Load("pay", 0.2, 90_000, 1, 900_000, "side_effect")]
+    assert least_of_all(played(loads, 0.9, fault=hang_a_tenth)) > 0.9
+
+
+@pytest.mark.parametrize("fault", [restart_seven_in_ten, replace_six_in_ten])
+def test_mass_restarts_and_replacements(fault):
+    assert least_of_all(played(MIX, 0.9, fault=fault, table=25)) > 0.8
+
+
+def test_excess_of_a_tenant_finds_no_way_round_its_share_by_the_floor():
+    tenants = [Tenant("own", 600.0), Tenant("other", 600.0), Tenant("more", 60.0)]
+    shares = Shares(Random(1), tenants, 0.1, 40)
+    parts = {one.name: [] for one in tenants}
+    for turn in range(2000):
+        for tenant, worth in zip(tenants, (5.0, 3.0, 1.0), strict=True):
+            asked = req(tenant=tenant, key=turn)
+            asked.method.criticality = worth
+            parts[tenant.name].append((shares.part_of_window(asked, turn * 10_000), asked.calm))
+    excess = [part for part, calm in parts["more"][400:] if calm]
+    within = [part for part, calm in parts["more"][400:] if not calm]
+    assert len(excess) > 5 * len(within) > 0
+    assert max(excess) < 0.5 and sum(part > 0.6 for part in within) > len(within) // 5
+
+
+# Clients that give up before any answer can come.
+
+
+def test_clients_that_give_up_too_early_do_not_use_up_the_nodes():
+    swarm = played(MIX, 0.9, hurried=0.6, seconds=7)
+    assert min(swarm.served(3, 6).values()) > 0.85  # 0.42 where all their reqs go out
+
+
+def test_a_write_out_that_outlasts_patience_is_told_while_its_queue_still_grows():
+    made = choice(nodes(4), proxies=100, peers=True)
+    asked = req()
+    node = made.where(asked, 0)[1]
+    made.doubt(asked, S // 2)
+    assert made.hearsay.ended == {node: 2} and node.share < 1.0
+
+
+def test_reqs_without_hope_are_nacked_at_once_but_a_few_which_show_when_there_is_some():
+    made = choice(nodes(4))
+    asked = req()
+    asked.method.took.extend([300_000] * 64)
+
+    def sent(give_up):
+        again = [Req(asked.method, 0, give_up, key) for key in range(400)]
+        return sum(made.where(one, 0)[0] == GO for one in again)
+
+    made.room.has = lambda *_: True
+    assert 1 <= sent(200_000) <= 20 and sent(400_000) == 400
+    # One of fewer chances ranks below one with more, and nothing is known before twenty answers.
+    parts = [made.shares.part_of_window(req(key=turn), 0, (0.2, 1.0)[turn % 2]) for turn in range(200)]
+    assert sum(parts[100::2]) < sum(parts[101::2]) - 20
+    asked.method.took.clear()
+    asked.method.took.extend([300_000] * 15)
+    assert sent(200_000) == 400
+
+
+# Tables of connections.
+
+
+def test_full_tables_of_connections_are_no_jam():
+    # A table holds a third of the proxies, and the nodes have little to do.
+    swarm = played(MIX, 0.5, proxies=75, table=25)
+    assert min(swarm.served(1, 4).values()) > 0.9
+    assert all(len(server.held) <= 25 for server in swarm.servers.values())
+
+
+def test_a_new_connection_turned_away_moves_no_share_and_is_told_to_nobody():
+    made = choice(nodes(4), proxies=100, peers=True)
+    asked = req()
+    node = made.where(asked, 0)[1]
+    keep = made.links.keep
+    asked.write_outs[0].fresh = True  # as the network part tells
+    made.after(asked.write_outs[0], FULL, 1000)
+    assert (node.share, made.room.common, made.hearsay.ended) == (1.0, 1.0, {})
+    assert made.links.keep < keep
+    made.wait(1000)
+    assert made.where(asked, 1000)[0] == GO and asked.write_outs[1].node is not node
+    # Without one of our own there it is left alone for a while; one that is open still serves.
+    made.links.idle.clear()
+    assert all(made.pick(req(), 2000) is not node for _ in range(20))
+    made.links.idle[node] = 2000
+    assert any(made.pick(req(), 2000) is node for _ in range(20))
+
+
+def test_a_full_queue_still_is_one():
+    made = choice(nodes(4), proxies=100, peers=True)
+    first, second = req(), req()
+    made.where(first, 0)
+    made.after(first.write_outs[0], SATISFIED, 1000)
+    node = made.where(second, 2000)[1]
+    made.after(second.write_outs[0], FULL, 3000)
+    assert node.share < 1.0 and node in made.hearsay.ended
+
+
+def test_how_long_idle_connections_stay_settles_by_what_is_turned_away():
+    links, node = Links(60 * S, 200), nodes(1)[0]
+    for _ in range(2000):
+        links.taken()
+    assert links.keep == 60 * S  # nobody is turned away: for as long as the nodes let them
+    for turn in range(4000):
+        links.turned_away(node, 0) if turn % 10 == 0 else links.taken()
+    assert links.keep < S  # a tenth is
+    assert Links(60 * S, 16).keep == 0
