Duty node-trials: one proxy looks at nodes that are down, the others space their own trials

Without it each proxy tries a node that is gone by its own reqs, every 0.5 to 4 s, whatever the others found. Ruled out: a word that moves health or shares (a holder that errs would take nodes out everywhere); 8 s in all (20 to 25 tries).

--- a/ivystack/duties/run.py
+++ b/ivystack/duties/run.py
@@ -19,11 +19,13 @@
 from .keeper import Keeper
 from .leases import KNOWN, Leases
 from .order import SlotOrder
+from .trials import NAMES, Trials, down_of, word_of
 
 TICK = 100_000  # microseconds
 NEWS = 500_000  # between the leader's news where nothing changes
 STALE = 3_000_000  # news that are older tell nothing
-ORDER = "slot-order"
+ORDER, TRIALS = "slot-order", "node-trials"
+ASK = 1_000_000  # between words of which nodes are down here, to who looks at them
 
 news_of = tuple[int, int, dict[str, tuple[str, int, int]]]
 
@@ -39,6 +41,9 @@
         self.fence = Fence()
         self.order = SlotOrder(proxy)
         self.keeper.duty(ORDER, self.order.able)
+        self.trials = Trials(proxy)
+        self.keeper.duty(TRIALS, self.order.able)
+        self.next_ask = 0
         self.member = None
         self.leases: Leases | None = None
         self.rows: dict[str, list] = {}
@@ -51,6 +56,8 @@
         self.told: Any = None
         self.stopped = False
         mesh.takers["duty"] = self.hear
+        mesh.takers["down"] = self.hear_down
+        mesh.takers["looked"] = self.hear_looked
 
     def with_own(self, member, leases: Leases) -> None:
         """Our own process is a member of the group."""
@@ -72,6 +79,7 @@
         self.keeper.tick(self.rows if fresh else None, now)
         if fresh:
             self.keep_order(now)
+            self.keep_trials(now)
 
     # The leader's part.
 
@@ -178,6 +186,54 @@
         self.order.said(token, version, self.order.take(order))
         self.order.version, self.written = version, order
 
+    # Trials of nodes that are down.
+
+    def keep_trials(self, now: int) -> None:
+        token = self.keeper.held(TRIALS, now)
+        if token:
+            self.trials.look(now, lambda: self.keeper.held(TRIALS, self.now()) == token)
+            word = self.trials.tell()
+            if word and self.keeper.held(TRIALS, self.now()) == token:
+                self.pass_on(None, token, word)
+        elif now >= self.next_ask and (down := self.trials.down()):
+            self.next_ask = now + ASK
+            self.ask_for(down)
+
+    def ask_for(self, down: list[str]) -> None:
+        """Who looks hears of it by a link, or by the members, who have one to everybody."""
+        holder = self.rows.get(TRIALS, [""])[0].rpartition("/")[0]
+        if holder and not self.mesh.say(holder, "down", down):
+            for peer in self.mesh.members:
+                self.mesh.say(peer, "down", down)
+
+    def hear_down(self, frm: str, body: Any) -> None:
+        names = msgspec.convert(body, down_of)
+        if self.keeper.held(TRIALS, self.now()):
+            self.trials.want(names, self.now())
+        elif self.member is not None and frm not in self.mesh.members:
+            self.mesh.say(self.rows.get(TRIALS, [""])[0].rpartition("/")[0], "down", names[:NAMES])
+
+    def pass_on(self, frm: str | None, token: int, word: dict[str, bool]) -> None:
+        """The holder's word: here, to all that have a link to us; a member passes it to those it did not come
+        from, who are no members: those have heard it from the holder or from a member."""
+        self.trials.said(token, word)
+        self.trials.take(word, self.now())
+        for peer in [*self.mesh.peers]:
+            if peer != frm and (frm is None or peer not in self.mesh.members):
+                self.mesh.say(peer, "looked", (token, word))
+
+    def hear_looked(self, frm: str, body: Any) -> None:
+        """Only of the holder, or passed on by a member; and only under the token that the group tells."""
+        token, word = msgspec.convert(body, word_of)
+        holder = self.rows.get(TRIALS, [""])[0].rpartition("/")[0]
+        if frm != holder and frm not in self.mesh.members:
+            return self.mesh.count("not-allowed", frm)
+        if len(word) > NAMES or not self.fence.admits(TRIALS, token):
+            return
+        if self.member is not None and frm == holder and holder not in self.mesh.members:
+            return self.pass_on(frm, token, word)  # it has links to us members alone
+        self.trials.take(word, self.now())
+
     # End, and for operators.
 
     def hand_on(self) -> None:
@@ -191,5 +247,6 @@
         return {
             "who": self.who, "fresh": now - self.heard < STALE, "rows": self.rows,
             "held": {duty: token for duty in self.keeper.hands if (token := self.keeper.held(duty, now))},
+            "trials": self.trials.state(),
             "order": blake2b(self.order.own(), digest_size=6).hexdigest(), "version": self.order.version,
         }  # fmt: skip
--- a/ivystack/rig/agree.py
+++ b/ivystack/rig/agree.py
@@ -39,13 +39,15 @@
         self.open: dict[int, tuple[str, int, tuple]] = {}
         self.number = 0
         self.done = False
-        self.holder = ""  # of slot-order, as the group's leader tells
+        self.holder = self.trier = ""  # of slot-order and node-trials, as the group's leader tells
         self.mesh.takers["duty"] = self.hear
         self.mesh.start()
 
     def hear(self, frm: str, body) -> None:
-        row = body[2].get("slot-order", [""])
-        self.holder = row[0].rpartition("/")[0]
+        rows = body[2]
+        self.holder, self.trier = (
+            rows.get(duty, [""])[0].rpartition("/")[0] for duty in ("slot-order", "node-trials")
+        )
 
     def members(self, members: dict[str, tuple[str, int]]) -> None:
         self.mesh.keep_to(members)
--- a/ivystack/rig/command.py
+++ b/ivystack/rig/command.py
@@ -92,9 +92,10 @@
 @click.option("--table", type=click.IntRange(1), help="Connections that a node holds; any number by default.")
 @click.option("--hurried", type=click.FloatRange(0, 1), default=0.0, help="Part of clients who hardly wait.")
 @click.option("--fault", "faults", multiple=True, type=click.Choice([*FAULTS]), help="At 2 s; more than one.")
+@click.option("--aside", is_flag=True, help="Caches tell a miss, proxies ask the origin; `sign` is a write.")
 @click.option("--worths", default="5,3,10", show_default=True, help="Of the classes view, check and sign.")
 @click.option("--seed", type=int, default=1, show_default=True)
-def swarm(proxies, nodes, load, seconds, table, hurried, faults, worths, seed) -> None:
+def swarm(proxies, nodes, load, seconds, table, hurried, faults, aside, worths, seed) -> None:
     """Play the decisions of a whole fleet in virtual time: each class's part served in time, by seconds."""
     from random import Random
 
@@ -106,7 +107,8 @@
     except ValueError:
         click.echo(f"--worths: wanted {len(MIX)} numbers, got {worths!r}", err=True)
         sys.exit(2)
-    world = World(nodes, proxies, 0.0, hurried=hurried)
+    loads = [replace(one, write=aside and one.name == "sign") for one in loads]
+    world = World(nodes, proxies, 0.0, hurried=hurried, aside=aside)
     world.reqs_per_s = nodes * world.cores * load / work(loads)
     world.table = table or world.table
     made = Swarm(Random(seed), loads, world)
--- a/ivystack/rig/faults.py
+++ b/ivystack/rig/faults.py
@@ -14,7 +14,7 @@
 from .check import Excuse
 from .processes import Process
 from .record import US, Mark
-from .scenario import FILES, HOLDER, LEADER, LINK, LISTS, PEER, PROCESS, Fault, found
+from .scenario import AIMED, FILES, HOLDER, LEADER, LINK, LISTS, PEER, PROCESS, TRIER, Fault, found
 
 
 class Faults:
@@ -42,11 +42,12 @@
 
     def aimed(self, fault: Fault) -> Fault:
         """The group's leader is whoever is thought to be it just now, and so is a duty's holder."""
-        if not {LEADER, HOLDER} & {*fault.who, *fault.between}:
+        if not AIMED & {*fault.who, *fault.between}:
             return fault
         known = {
             LEADER: self.rig.agreeing.client.leader or self.rig.rng.choice(self.rig.members),
             HOLDER: self.rig.agreeing.holder or self.rig.rng.choice([*self.rig.processes]),
+            TRIER: self.rig.agreeing.trier or self.rig.rng.choice([*self.rig.processes]),
         }
         who, between = ([known.get(one, one) for one in of] for of in (fault.who, fault.between))
         return replace(fault, who=who, between=between)
--- a/ivystack/rig/scenario.py
+++ b/ivystack/rig/scenario.py
@@ -14,7 +14,8 @@
 import msgspec
 from msgspec import Meta, Struct
 
-LEADER, HOLDER = "leader", "holder"  # of the group; of slot-order
+LEADER, HOLDER, TRIER = "leader", "holder", "trier"  # of the group; of slot-order; of node-trials
+AIMED = {LEADER, HOLDER, TRIER}  # known when it comes to it
 
 Part = Annotated[float, Meta(ge=0, le=1)]
 Positive = Annotated[float, Meta(gt=0)]
@@ -130,7 +131,7 @@
     ['p0']
     """
     for pattern in patterns:
-        if pattern in (LEADER, HOLDER):  # known when it comes to it
+        if pattern in AIMED:
             return [pattern]
         if not any(fnmatch(name, pattern) for name in known):
             raise ScenarioError(f"`{key}`: no such process: {pattern}")
@@ -153,12 +154,12 @@
             if len(fault.between) != 2:
                 raise ScenarioError(f"{name}: `{key}.between`: wanted two, got {len(fault.between)}")
             for pattern in fault.between:
-                if pattern in (LEADER, HOLDER) and not made.fleet.group:
+                if pattern in AIMED and not made.fleet.group:
                     raise ScenarioError(f"{name}: `{key}.between`: there is no consensus group")
                 found([pattern], [*proxies, *nodes, "discovery", "clients"], f"{name}: {key}.between")
         elif fault.kind in (*PROCESS, *NODE, *FILES) and fault.kind != "origin-slow":
             known = nodes if fault.kind in NODE else proxies
-            if {LEADER, HOLDER} & {*fault.who} and not (made.fleet.group and fault.kind in PROCESS):
+            if AIMED & {*fault.who} and not (made.fleet.group and fault.kind in PROCESS):
                 raise ScenarioError(f"{name}: `{key}.who`: there is no leader of such")
             if not found(fault.who, known, f"{name}: {key}.who"):
                 raise ScenarioError(f"{name}: `{key}.who`: missing")
--- a/ivystack/rig/swarm.py
+++ b/ivystack/rig/swarm.py
@@ -22,11 +22,12 @@
 
 from ..choice import Choice
 from ..model import (  # fmt: skip
-    FAIL, FULL, GO, LEFT, NACK, OVERDUE, READY, REFUSED, SATISFIED, Node, Req, WriteOut,
+    FAIL, FULL, GO, LEFT, MISSED, NACK, OVERDUE, READY, REFUSED, SATISFIED, Node, Req, WriteOut,
 )
 from ..settings import Settings
 
 S = 1_000_000
+ORIGIN = "origin"  # its name in lists, where proxies ask it
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +41,7 @@
     budget: int
     semantics: str = "pure"
     proxies: int | None = None  # only so many send it
+    write: bool = False
     tenant: str | None = None
 
     def sheet(self) -> dict:
@@ -84,6 +86,7 @@
     table: int = 1 << 30  # connections that a node holds: beyond, new ones are turned away
     write_outs: int = 3
     peers: bool = True
+    aside: bool = False  # caches tell a miss, and proxies ask the origin; writes go there alone
     tenants: dict[str, float] = field(default_factory=dict)  # and what each is allowed, a second
     excess: float = 0.1
     chance: Random = field(default_factory=lambda: Random(3))
@@ -106,17 +109,24 @@
         least = self.world.cold_share
         return min(1.0, least + (1 - least) * (now - self.started) / self.world.cold)
 
+    def has(self, key: int) -> bool:
+        if key not in self.keeps and not self.started and self.world.chance.random() < self.world.hits:
+            self.keep(key)
+        if key in self.keeps:
+            self.keeps.move_to_end(key)
+        return key in self.keeps
+
+    def keep(self, key: int) -> None:
+        self.keeps[key] = None
+        if len(self.keeps) > self.world.copies:
+            self.keeps.popitem(last=False)
+
     def done_at(self, work: float, key: int, now: int, origin: Origin) -> int:
         core = min(range(len(self.free)), key=self.free.__getitem__)
         start = max(now, self.free[core])
-        if key not in self.keeps:
-            if self.started or self.world.chance.random() > self.world.hits:
-                start = origin.fetched_at(start)  # a miss holds its place
-            self.keeps[key] = None
-            if len(self.keeps) > self.world.copies:
-                self.keeps.popitem(last=False)
-        else:
-            self.keeps.move_to_end(key)
+        if not self.has(key):
+            start = origin.fetched_at(start)  # a miss holds its place
+            self.keep(key)
         self.free[core] = start + round(work * self.slow / self.warmth(now))
         return self.free[core]
 
@@ -178,6 +188,8 @@
         rates = [rng.lognormvariate(0, world.spread) for _ in range(world.proxies)]
         self.rates = [rate / sum(rates) * world.reqs_per_s for rate in rates]
         self.listed = {name: Node(name) for name in self.servers}
+        if world.aside:
+            self.listed[ORIGIN] = Node(ORIGIN, kind=1)
         self.proxies = [Proxy(self, i, self.list(), self.now) for i in range(world.proxies)]
         self.asked: Counter[tuple[str, int]] = Counter()  # by class and second
         self.in_time: Counter[tuple[str, int]] = Counter()
@@ -191,7 +203,8 @@
         world = self.world
         limits = {"most_write_outs": world.write_outs, "may_duplicate": True, "conn_idle": 60 * S * 1000}
         limits |= {"peers": world.peers, "retry_after": True, "max_retry_after": 1_200_000_000}
-        return {
+        aside = {"kinds": ["cache", ORIGIN], "specifics": {"origin_kind": 1}} if world.aside else {}
+        return aside | {
             "methods": [load.sheet() for load in self.loads], "limits": limits, "n_instances": world.proxies,
             "parties": [{"name": n, "allowance_per_s": a} for n, a in world.tenants.items()],
             "excess_criticality": world.excess, "slot_no": number, "granularity": 5_000_000,
@@ -199,7 +212,7 @@
         }  # fmt: skip
 
     def list(self) -> list[Node]:
-        return [Node(n.name, state=n.state, started=n.started) for n in self.listed.values()]
+        return [Node(n.name, n.kind, state=n.state, started=n.started) for n in self.listed.values()]
 
     def at(self, time: int, call: Callable, *given) -> None:
         self.count += 1
@@ -236,7 +249,8 @@
         asked.tries += 1
         method = proxy.methods[asked.load.name]
         give_up = self.now + (asked.load.budget // 20 if asked.hurried else 2 * asked.load.budget)
-        req = Req(method, self.now, give_up, asked.key, proxy.tenants.get(asked.load.tenant))
+        tenant = proxy.tenants.get(asked.load.tenant)
+        req = Req(method, self.now, give_up, asked.key, tenant, write=asked.load.write)
         proxy.asked[req] = asked
         self.carry(proxy, req, proxy.choice.where(req, self.now))
         self.settle(proxy)
@@ -254,7 +268,8 @@
             peer, words = req.saying
             self.at(self.now + self.world.way, self.hears, peer, words)
         elif req.closing:
-            self.servers[node.name].held.discard(proxy)
+            if node.name in self.servers:
+                self.servers[node.name].held.discard(proxy)
         elif word == GO:
             self.send(proxy, req.write_outs[-1], until)
         elif word in (NACK, FAIL):
@@ -297,7 +312,16 @@
         self.at(until, self.after, proxy, write_out, OVERDUE)
         self.at(self.now + self.world.way, self.comes, proxy, write_out)
 
+    def fetches(self, write_out: WriteOut) -> int:
+        """When the origin has answered a proxy; of a read the cache that missed keeps the value."""
+        missed = [w.node.name for w in write_out.req.write_outs if w.outcome == MISSED]
+        if missed and missed[-1] in self.servers:
+            self.servers[missed[-1]].keep(write_out.req.key)
+        return self.origin.fetched_at(self.now)
+
     def comes(self, proxy: Proxy, write_out: WriteOut) -> None:
+        if write_out.node.name == ORIGIN:
+            return self.at(self.fetches(write_out) + self.world.way, self.after, proxy, write_out, SATISFIED)
         server = self.servers.get(write_out.node.name)
         if server is None or server.gone:
             return self.at(self.now + self.world.way, self.after, proxy, write_out, REFUSED)
@@ -307,6 +331,8 @@
         if write_out.fresh and len(server.held) >= self.world.table:
             return self.at(self.now + self.world.way, self.after, proxy, write_out, FULL)
         server.held.add(proxy)
+        if self.world.aside and not server.has(write_out.req.key):
+            return self.at(self.now + self.world.way, self.after, proxy, write_out, MISSED)
         asked = proxy.asked.get(write_out.req)
         work = (asked.load.work if asked else self.loads[0].work) * self.rng.gammavariate(3, 1 / 3)
         done = server.done_at(work, write_out.req.key, self.now, self.origin)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -6,7 +6,7 @@
 from types import ModuleType
 
 import pytest
-from helpers import entries, proxy
+from helpers import Transport, entries, proxy
 from test_consensus import playing
 from test_rig import PACKAGE, altered, ivy
 
@@ -14,6 +14,7 @@
 from ivystack.duties.fence import Fence
 from ivystack.duties.leases import Leases
 from ivystack.duties.order import SlotOrder
+from ivystack.duties.trials import MOST, Trials
 from ivystack.rig.check import overlapping
 from ivystack.rig.logs import logged
 from ivystack.words import mark
@@ -274,6 +275,7 @@
 
 def test_real_holders_die_stop_and_are_cut_off_and_the_fleet_keeps_one_order():
     scenes = ["holder-killed", "holder-stopped", "holder-cut", "herd-order", "liar", "two-of-one"]
+    scenes.append("node-trials")
     told = {scene: process.communicate(timeout=120)[0] for scene, process in
             [(scene, playing(scene)) for scene in scenes]}  # fmt: skip
     assert [text for text in told.values() if not text.startswith("HOLDS")] == []
@@ -313,3 +315,59 @@
         file.write_text(file.read_text().replace(before, after))
     code, told, _ = ivy(*words)
     assert code == 1 and "BREACH of `fencing`" in told, told
+
+
+# Trials of nodes that are down.
+
+
+def down_at(made, name):
+    node = made.choice.nodes[name]
+    for _ in range(2):
+        made.choice.health.failed(node, True, made.now())
+    return node
+
+
+def test_a_word_spaces_own_trials_of_a_node_that_is_down_here_and_only_for_so_long():
+    made = proxy(3)
+    trials, now = Trials(made), made.now()
+    node, well = down_at(made, "n1"), made.choice.nodes["n0"]
+    due = node.trial_at
+    for second in range(50):
+        trials.take({"n1": False, "n0": False, "nx": False}, now + second * S)
+    assert due < node.trial_at == due + MOST  # then we try it ourselves, whatever is said
+    assert well.trial_at == 0 and made.choice.health.up(well)
+    trials.take({"n1": True}, now + 51 * S)
+    assert node.trial_at <= now + 51 * S and not made.choice.health.up(node)  # its own answers alone say so
+
+
+def test_the_holder_looks_at_what_is_down_anywhere_but_never_at_a_node_that_drains():
+    made = proxy(4)
+    trials, now = Trials(made), made.now()
+    down_at(made, "n1"), down_at(made, "n2")
+    made.listed(entries(4, state="DRAINING")[2:3], False)
+    trials.want(["n3", "nx"] * 200, now)
+    trials.look(now, lambda: False)
+    assert not made.reactor.tcpClients  # not a single one without the duty
+    trials.look(now, lambda: True)
+    trials.look(now + 1000, lambda: True)
+    asked = sorted(port for _, port, *_ in made.reactor.tcpClients)
+    assert asked == [7001, 7003]
+    for answer, (*_, factory, _, _) in zip((b"+PONG\r\n", b"-ERR\r\n"), made.reactor.tcpClients, strict=True):
+        look = factory.buildProtocol(None)
+        look.makeConnection(Transport())
+        look.dataReceived(answer)
+    assert trials.tell() == {"n1": True, "n3": False} and trials.tell() == {}
+    for step in range(100):  # once more after 0.5 s, after 1 s, then every 2 s
+        trials.want(["n3"], now + step * S // 10)
+        trials.look(now + step * S // 10, lambda: True)
+        trials.looking.clear()
+    assert sum(port == 7003 for _, port, *_ in made.reactor.tcpClients) == 7
+
+
+def test_a_look_that_hangs_is_a_node_that_was_not_reached():
+    made = proxy(2)
+    trials = Trials(made)
+    down_at(made, "n0")
+    trials.look(made.now(), lambda: True)
+    made.reactor.advance(1)
+    assert trials.tell() == {"n0": False} and not trials.looking
