--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -3,11 +3,12 @@
 from random import Random
 
 import pytest
-from helpers import S, choice, nodes, req
+from helpers import S, choice, client, get, nodes, proxy, req, told
 
 from ivystack.choice import Links, Shares
 from ivystack.model import FULL, GO, SATISFIED, Req, Tenant
 from ivystack.rig.swarm import FAULTS, MIX, Load, Swarm, World, work
+from ivystack.settings import FaultError, Settings
 
 
 
@@ -158,3 +159,39 @@
         links.turned_away(node, 0) if turn % 10 == 0 else links.taken()
     assert links.keep < S  # a tenth is
     assert Links(60 * S, 16).keep == 0
+
+
+# Worths that say nothing, and classes that are none.
+
+
+@pytest.mark.parametrize("worth, word", [(-1, ">= 0"), (float("nan"), ">= 0"), (float("inf"), "<= ")])
+def test_a_worth_that_is_none_is_one_clear_line(worth, word):
+    sheet = {"methods": [MIX[0].sheet() | {"criticality": worth}]}
+    with pytest.raises(FaultError, match="criticality") as fault:
+        Settings(1, sheet)
+    assert word in str(fault.value) and "\n" not in str(fault.value)
+
+
+@pytest.mark.parametrize("worths", [(None, None), (0, 0), (7, 7), (0, 5)])
+def test_classes_of_no_worth_or_one_worth_all_find_a_place_under_strain(worths):
+    sheet = {"methods": [MIX[0].sheet() | {"name": name, "criticality": worth}
+                         for name, worth in zip("ab", worths, strict=True)]}  # fmt: skip
+    made = Settings(1, sheet)
+    shares, methods = made.choice.shares, made.methods
+    parts = {name: [] for name in methods}
+    for turn in range(600):
+        for name, method in methods.items():
+            parts[name].append(shares.part_of_window(Req(method, turn, turn + S, turn), turn))
+    for name in parts:  # at half of the share
+        assert sum(part > 0.5 for part in parts[name][200:]) > 400 * 0.2, name
+
+
+def test_no_classes_and_a_req_of_an_unknown_one_get_an_answer_and_no_more():
+    for run in (told(methods=[]), None):
+        made = proxy(2, run=run)
+        if run is not None:
+            made.settings.methods.clear()
+            made.front.knows(made.settings.methods, made.settings.tenants)
+        asks = client(made)
+        asks.dataReceived(get(fields=b"c=other,t=t,d=500"))
+        assert asks.transport.took().startswith(b"-ERR") and not made.reqs and made.ready()
