--- a/ivystack/duties/order.py
+++ b/ivystack/duties/order.py
@@ -41,11 +41,12 @@
         """Takes an order up; what is wrong with it, if it is not."""
         choice = self.proxy.choice
         marks = [order[at : at + MARK] for at in range(0, len(order), MARK)]
-        # Two of a thousand nodes may have one mark; more of one are nobody's order.
-        alike = max(Counter(marks).values(), default=0)
-        if not marks or len(marks) > MOST or len(order) % MARK or alike > 2:
-            return "malformed"
         caches = [node for node in choice.nodes.values() if node.kind != choice.origin_kind]
+        # A mark comes once, or as often as nodes here have it: two of a thousand may have one.
+        known = Counter(map(mark, caches))
+        more = any(count > max(1, known[one]) for one, count in Counter(marks).items())
+        if not marks or len(marks) > MOST or len(order) % MARK or more:
+            return "malformed"
         ready = [mark(node) for node in caches if node.state == READY]
         if 2 * len({*marks} & {*ready}) < len(ready):
             return "strange"  # it names none of what we see: our own order is no worse
