--- a/ivystack/duties/trials.py
+++ b/ivystack/duties/trials.py
@@ -80,9 +80,10 @@
         return found[:NAMES]
 
     def want(self, names: down_of, now: int) -> None:
-        """Another proxy holds these down."""
+        """Another proxy holds these down.  Names that our list lacks are not kept: a liar's have no end."""
         for name in names[:NAMES]:
-            self.wanted[name] = now + WANTED
+            if name in self.proxy.choice.nodes:
+                self.wanted[name] = now + WANTED
 
     def look(self, now: int, held: Callable[[], bool]) -> None:
         """The holder's round; `held` is asked right before each look."""
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -346,6 +346,7 @@
     down_at(made, "n1"), down_at(made, "n2")
     made.listed(entries(4, state="DRAINING")[2:3], False)
     trials.want(["n3", "nx"] * 200, now)
+    assert [*trials.wanted] == ["n3"]
     trials.look(now, lambda: False)
     assert not made.reactor.tcpClients  # not a single one without the duty
     trials.look(now, lambda: True)
