What the kernel has accepted when a stopping proxy closes its port is served

Cause: stop_taking closed the listening socket a turn after its last accept (stopListening), and a closed one resets what waits in its queue; a turn takes 16 at most. Forced with real connections: 48 that came in the turn of the closing were all reset before ("None" for "-ERR draining"), all are answered now: they are taken first and the port closes in the same turn. At an inherited socket nothing is taken: the other process does.

SIGTERM while a new process still asks the old one: stop_taking found no port, then the old process's word opened one that nobody would close (seen: port open after the stop). begin does nothing once the end has begun.

Guards, sound before: SIGTERM twice and amid an operators' drain with a write out that no node answers; a drain told after SIGTERM.

--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -10,7 +10,8 @@
 
 import orjson
 from loguru import logger
-from twisted.internet.error import CannotListenError
+from twisted.internet.error import CannotListenError, ConnectionDone
+from twisted.python.failure import Failure
 
 from ..model import (  # fmt: skip
     CLIENT_GONE, DONE, FAIL, GO, LEAVING, LEFT, NACK, READY, SATISFIED, WAIT, Node, Req, WriteOut, figures,
@@ -100,6 +101,8 @@
 
     def begin(self, state: State | None) -> None:
         """Serves, going on from what an old process has told."""
+        if self.ending:  # guards against a port that nobody would close: SIGTERM came while we asked
+            return
         try:
             self.go_on(state)
             self.open()
@@ -211,9 +214,18 @@
 
     def stop_taking(self) -> None:
         if self.port is not None:
-            self.port.stopListening()
+            self.close_port()
         self.finish()
 
+    def close_port(self) -> None:
+        """Guards what the kernel has accepted and we have not: a closed listening socket resets it.  What is
+        at an inherited one is the other process's to take."""
+        self.port.stopReading()
+        if self.run.fd is None:
+            self.port.numberAccepts = max(self.AT_ONCE, self.front.most - len(self.front.clients))
+            self.port.doRead()
+        self.port.connectionLost(Failure(ConnectionDone()))  # in this turn: later, more would have come
+
     def finish(self) -> None:
         if self.reqs or self.front.clients:
             self.deadlines.at(self.now() + 10_000, self.finish)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -61,6 +61,27 @@
         return text
 
 
+class Door:
+    """A listening socket at which nobody waits."""
+
+    open = True
+
+    def stopReading(self):  # noqa: N802
+        pass
+
+    def doRead(self):  # noqa: N802
+        pass
+
+    def connectionLost(self, reason):  # noqa: N802
+        self.open = False
+
+
+class Reactor(MemoryReactorClock):
+    def listenTCP(self, *values, **named):  # noqa: N802
+        super().listenTCP(*values, **named)
+        return Door()
+
+
 def entries(count, state="SERVING", **more):
     return [
         {"instanceId": f"n{i}", "hostPort": f"127.0.0.9:{7000 + i}", "lifecycle": state, "weight": 1.0} | more
@@ -83,7 +104,7 @@
 
 def proxy(count=1, reporting=None, run=None, **limits):
     """A proxy on a reactor that only keeps what it is asked for, told of so many cache nodes."""
-    reactor = MemoryReactorClock()
+    reactor = Reactor()
     reactor.advance(1000)
     made = Proxy(run or told(reporting, **limits), reactor, lambda: round(reactor.seconds() * S))
     made.listed(entries(count), True)
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -1,11 +1,13 @@
 """Narrow moments, each forced: where two events cross, in the order that does harm."""
 
+import os
 import socket
 
 import pytest
-from helpers import hit
-from moments import Moment, Node, gets
+from helpers import hit, told
+from moments import Agent, Moment, Node, gets
 
+from ivystack.model import LEAVING
 from ivystack.net.front import Client
 from ivystack.net.resp import command
 
@@ -140,6 +142,81 @@
 # The end of a proxy.
 
 
+def test_what_the_kernel_has_accepted_when_the_port_closes_is_served(moment):
+    # Guards clients that came within the last turn: a closed listening socket resets them.
+    made = moment()
+    came = []
+
+    def last_turn():
+        made.proxy.terminate()
+        for _ in range(3 * made.proxy.AT_ONCE):
+            came.append(made.client())
+            came[-1].send(command(b"PING"))
+        made.proxy.stop_taking()
+
+    made.turn(last_turn)
+    assert [one.take() for one in came] == ["-ERR draining"] * len(came)
+    with pytest.raises(ConnectionRefusedError):
+        made.client()
+
+
+def test_a_proxy_told_to_end_while_it_asks_the_old_process_opens_nothing(moment, tmp_path):
+    # Guards against a port that nobody closes: SIGTERM finds none, and the old process's word comes after it.
+    door = socket.create_server(("127.0.0.1", 0))
+    run = told()
+    run.fd, run.folder = os.dup(door.fileno()), str(tmp_path)
+    made = moment(run=run, begun=False)
+    old = socket.socket(socket.AF_UNIX)
+    old.bind(str(tmp_path / f"{made.proxy.handover.tag}-1.sock"))
+    old.listen()
+    made.start()
+    word = old.accept()[0]
+    made.turn(made.proxy.terminate)
+    word.close()
+    made.until(lambda: made.proxy.handover.then is None)
+    assert made.proxy.port is None and not made.proxy.started
+    made.pass_by(1)
+    assert made.loop.stopped
+    os.close(run.fd)
+
+
+def test_sigterm_twice_and_with_a_write_out_that_no_node_answers(moment):
+    # The req that can't be repeated is waited for, to its own end, and answered once.
+    node = Node("n0")
+    made = moment(node)
+    asking = made.client()
+    asking.send(command(b"OBJ.SET", b"7f", b"1", b"c=pay,t=t,d=2000", b"v"))
+    node.accept().take()
+    made.turn(made.proxy.terminate)
+    made.pass_by(made.proxy.STAY)
+    made.turn(made.proxy.terminate)
+    made.turn(made.proxy.drain)
+    assert not made.loop.stopped
+    made.pass_by(2_000_000)
+    assert asking.take() == "-ERR failed" and asking.take() is None
+    made.until(lambda: not made.proxy.front.clients)
+    made.pass_by(20_000)
+    assert made.loop.stopped
+
+
+def test_a_drain_that_is_told_after_sigterm_counts(moment):
+    agent, node, other = Agent(), Node("n0"), Node("n1")
+    made = moment(discovery=agent)
+    watch, _ = agent.call()
+    agent.line(watch, 1, node.entry(), other.entry(), whole=True)
+    made.until(lambda: len(made.proxy.choice.nodes) == 2)
+    asking = made.client()
+    asking.send(gets(1))
+    made.until(lambda: made.proxy.reqs)
+    made.turn(made.proxy.terminate)
+    agent.line(watch, 2, node.entry("DRAINING"), other.entry("DRAINING"))
+    made.until(lambda: all(one.state == LEAVING for one in made.proxy.choice.nodes.values()))
+    late = made.client()
+    late.send(gets(1, b"late"))
+    made.until(lambda: len(made.proxy.reqs) == 2)
+    assert made.turn(lambda: [len(held.req.write_outs) for held in made.proxy.reqs.values()]) == [1, 0]
+
+
 # The list of nodes.
 
 
