A SIGHUP that comes while the program starts is not lost, nor does it end it sooner

Cause: SIGHUP was ignored from main() until the handler was installed, so a configuration replaced after it was read stayed unread for as long as the process lived; and before main() ran, while some dozen packages were loaded, the signal's own effect ended the process. It is noted from the program's first line (early.py) and the configuration is read again once the proxy runs. Forced with a pipe for the configuration: the signal comes while the first reading is under way, and without the mend the pipe is never read again.

--- a/ivystack/__main__.py
+++ b/ivystack/__main__.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from . import early  # isort: skip  # first: what it notes may come at any time
+
 import gc
 import os
 import signal
@@ -17,8 +19,6 @@
 
 
 def main() -> int:
-    # Guards the start: a configuration replaced before it is read is no reason to end.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         run = load(os.environ)
         path, fleet = os.environ.get("LB_FLEET"), None
@@ -51,6 +51,8 @@
         signal.signal(name, lambda *_: reactor.callFromThread(end, proxy, together))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, proxy, together))
     reactor.callWhenRunning(start, proxy, reactor, together)
+    if early.noted:  # it may have come after the reading: a word of a new configuration is not to be lost
+        reactor.callWhenRunning(reload, proxy, together)
     reactor.run(installSignalHandlers=False)
     return 0 if proxy.started else 1
 
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -1,11 +1,17 @@
 """Narrow moments, each forced: where two events cross, in the order that does harm."""
 
+import json
 import os
+import signal
 import socket
+import subprocess
+import sys
+import time
 
 import pytest
 from helpers import hit, told
 from moments import Agent, Moment, Node, gets
+from test_main import free_port
 
 from ivystack.model import LEAVING
 from ivystack.net.front import Client
@@ -217,6 +223,43 @@
     assert made.turn(lambda: [len(held.req.write_outs) for held in made.proxy.reqs.values()]) == [1, 0]
 
 
+def test_a_sighup_during_the_start_is_not_lost(tmp_path):
+    # Guards against old settings for ever: the configuration is replaced after it was read, before the signal
+    # has its handler.  The file is a pipe, so the test says when each reading ends.
+    path, agents, listen = tmp_path / "config", [Agent(), Agent()], free_port()
+    os.mkfifo(path)
+    process = subprocess.Popen(
+        [sys.executable, "-B", "-m", "ivystack"], env=os.environ | {"LB_CONFIG": str(path)},
+        stderr=subprocess.DEVNULL,
+    )  # fmt: skip
+
+    def told(agent):
+        return json.dumps(
+            {"listen": f"127.0.0.1:{listen}", "discovery": "{}:{}".format(*agent.address), "settings": {}}
+        ).encode()
+
+    def reading():
+        """The pipe, once the program reads it."""
+        for _ in range(1000):
+            try:
+                return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+            except OSError:
+                time.sleep(0.01)
+        raise AssertionError("it is not read again")
+
+    try:
+        for number, agent in enumerate(agents):
+            pipe = reading()
+            if number == 0:
+                process.send_signal(signal.SIGHUP)
+            os.write(pipe, told(agent))
+            os.close(pipe)
+        assert agents[1].call()[1] == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
 # The list of nodes.
 
 
