The list: a spoilt entry is asked for again, a drain needs no address, calls come well within the grace

Three causes, each forced with real connections and a scripted agent. An entry that can't be used was told and passed over while its version was taken, so nobody would ever tell it again: a drain spoilt on its way was lost for good. The watch is now begun anew for the whole list, once for each such entry; one spoilt at its source stays told once and the rest counts. A drain with an address that can't be read was such an entry, though a node that leaves needs none. After failures the next call came after up to 1.2 s, chance included, and what the agent gets at its return counts at once: with a grace of 1 s (250 ms at other customers) a node could be sent to for too long. The pause is now at most three eighths of the grace, 300 ms at the most; where lists are asked for (one service for all) nothing moved.

--- a/ivystack/net/discovery.py
+++ b/ivystack/net/discovery.py
@@ -44,8 +44,9 @@
     def __init__(self, reactor, deadlines, now, asking: Asking, address, told):
         self.agent = Agent(reactor, connectTimeout=2)
         self.deadlines, self.now, self.asking, self.address = deadlines, now, asking, address
-        self.told = told  # (entries, whole): news
+        self.told = told  # (entries, whole): news; whether all could be used, and if not, whether that is new
         self.generation = 0
+        self.lacking = False  # some entry could not be used: only a whole list shows that all is known
         self.body: Lines | None = None
         self.call = None
         self.silence: list | None = None
@@ -60,7 +61,8 @@
         if self.stopped or self.call is not None or self.body is not None:
             return
         self.deadlines.drop(self.next)
-        url = PATH % (self.address[0].encode(), self.address[1], self.generation)
+        since = 0 if self.lacking else self.generation
+        url = PATH % (self.address[0].encode(), self.address[1], since)
         self.heard()
         call = self.call = self.agent.request(b"GET", url)
         call.addCallbacks(self.opened, self.failed, (call,), errbackArgs=(call,))
@@ -92,16 +94,21 @@
         if not line.strip():
             return
         try:
-            self.take(orjson.loads(line))
+            new = self.take(orjson.loads(line))
         except Exception as fault:  # guards against whatever may come: the watch is begun anew
             logger.error("discovery: a line that can't be used: {}: {}", type(fault).__name__, fault)
             return self.broke("unreadable")
         self.asking.failures = 0
+        if new:  # guards against news lost for good: what was spoilt on its way comes whole the next time
+            self.broke("unusable-entry")
 
-    def take(self, listing: dict) -> None:
+    def take(self, listing: dict) -> bool:
+        """Whether something in it could not be used that is new to us."""
         generation, whole = int(listing["generation"]), bool(listing.get("reset"))
-        self.told(listing["instances"], whole)
+        usable, new = self.told(listing["instances"], whole)
+        self.lacking = not usable or (self.lacking and not whole)
         self.generation = generation
+        return new
 
     def broke(self, code: str) -> None:
         self.deadlines.drop(self.silence)
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -63,6 +63,7 @@
         self.ends: deque[tuple[WriteOut, str, dict, bool]] = deque()  # outcomes still to be told
         self.settling = False
         self.alarm: list | None = None
+        self.useless: deque[int] = deque(maxlen=64)  # the list's entries that can't be used and were told
         self.nodes = Nodes(
             reactor, self.deadlines, self.now, self.ended, run.sockets, run.idle, run.connect_timeout,
             self.deep(), run.memory // Front.HELD,
@@ -435,18 +436,24 @@
 
     # News.
 
-    def listed(self, entries: list[dict], whole: bool) -> None:
-        nodes = []
+    def listed(self, entries: list[dict], whole: bool) -> tuple[bool, bool]:
+        """Takes the news.  Whether all of it could be used, and whether what could not is new to us."""
+        nodes, useless, new = [], False, False
         for entry in entries:
             try:
                 nodes.append(self.entry(entry))
             except (ValueError, TypeError, KeyError, AttributeError) as fault:  # guards the rest of the news
-                logger.error("list: an entry that can't be used: {}: {}", type(fault).__name__, fault)
+                useless = True
+                if (told := hash(repr(entry))) not in self.useless:  # each is told once
+                    new = True
+                    self.useless.append(told)
+                    logger.error("list: an entry that can't be used: {}: {}", type(fault).__name__, fault)
         self.choice.listed(nodes, whole, self.now())
         for node in self.choice.nodes.values():
             self.nodes.listed(node.name, node.state == READY)
         self.nodes.keep(self.choice.nodes)
         self.settle()
+        return not useless, new
 
     def entry(self, entry: dict) -> Node:
         name, where = entry["instanceId"], entry.get("hostPort")
@@ -461,7 +468,7 @@
             STATES.get(entry.get("lifecycle"), LEAVING),  # an unknown word: nothing new goes there
             int(entry.get("startedAtMs") or 0) * 1000,
         )
-        if where or node.state == READY:
+        if node.state == READY:  # one that leaves needs no address: guards its drain against a spoilt one
             known = self.choice.nodes.get(name)
             restarted = known is not None and node.started > known.started
             self.nodes.known(name, address(where, "hostPort"), restarted)
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -66,6 +66,7 @@
     cold_share: Part = None
     overload_factor: Figure = None
     ask_within: Ns = None
+    stop_sending_within: Ns = None
 
 
 class ReportingSheet(Struct):
@@ -160,7 +161,9 @@
 class Settings:
     """One instance's decisions, with the names that the wire uses for its methods, tenants and kinds."""
 
-    PAUSES = 100_000, 800_000  # before the list is called for again: the agent is near and costs nothing
+    # Before the list is called for again: the agent is near and costs nothing.  What it gets at its return
+    # counts as told at once, so the longest, half as long again by chance, is well within the drain's grace.
+    PAUSES, GRACE = (100_000, 200_000), 4
 
     def __init__(self, seed: int, config: Any):
         rng = Random(seed)
@@ -177,7 +180,7 @@
         # Where lists are asked for, a service of fixed capacity answers all; even the longest pause is well
         # within the time after which we would be deemed told.
         least = min(750_000, us(rules.ask_within) // 8) if sheet.discovery == "ask" else 0
-        self.pauses = (least, 8 * least) if least else self.PAUSES
+        self.pauses = (least, 8 * least) if least else self.near(us(rules.stop_sending_within))
         self.may_duplicate = bool(limits.may_duplicate)
         self.streams = limits.streams_per_conn or 1
         self.idle, self.connect_timeout = us(limits.conn_idle), us(limits.connect_timeout)
@@ -202,6 +205,10 @@
         )
 
 
+    def near(self, grace: int) -> tuple[int, int]:
+        most = min(self.PAUSES[1], grace // self.GRACE or self.PAUSES[1])
+        return min(self.PAUSES[0], most), most
+
     # Retuning: what another sheet says is handed to the parts in use.  What they have seen stays theirs.
 
     def take(self, new: Settings) -> list[Method]:
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -16,6 +16,7 @@
 from ivystack.model import LEAVING
 from ivystack.net.front import Client
 from ivystack.net.resp import command
+from ivystack.settings import Settings
 
 PAY = b"c=pay,t=t,d=60000"
 
@@ -263,4 +264,62 @@
 # The list of nodes.
 
 
+def test_a_spoilt_entry_is_asked_for_again_once_and_the_rest_is_taken(moment):
+    # Guards against news lost for good: the version goes on, so nobody would ever tell it again.
+    agent, nodes = Agent(), [Node("n0"), Node("n1")]
+    made = moment(discovery=agent)
+    watch, since = agent.call()
+    agent.line(watch, 1, *(node.entry() for node in nodes), whole=True)
+    made.until(lambda: len(made.proxy.choice.nodes) == 2)
+    spoilt = nodes[0].entry("DRAINING", startedAtMs="x")
+    agent.line(watch, 2, spoilt, nodes[1].entry("DRAINING"))
+    made.until(lambda: made.proxy.choice.nodes["n1"].state == LEAVING)
+    made.until(lambda: made.proxy.discovery.body is None)
+    made.pass_by(made.proxy.settings.pauses[1] * 2)
+    watch, since = agent.call()
+    assert since == 0  # the whole list
+    agent.line(watch, 2, spoilt, nodes[1].entry("DRAINING"), whole=True)  # spoilt at its source: told once
+    agent.line(watch, 3, nodes[1].entry())
+    made.until(lambda: made.proxy.choice.nodes["n1"].state != LEAVING)
+    assert made.turn(lambda: made.proxy.discovery.body is not None and made.proxy.discovery.lacking)
+    agent.line(watch, 4, nodes[0].entry("DRAINING"), nodes[1].entry(), whole=True)
+    made.until(lambda: made.proxy.choice.nodes["n0"].state == LEAVING)
+    assert not made.proxy.discovery.lacking and made.proxy.discovery.generation == 4
+
+
+def test_a_drain_counts_though_its_address_is_spoilt(moment):
+    agent, node = Agent(), Node("n0")
+    made = moment(discovery=agent)
+    watch, _ = agent.call()
+    agent.line(watch, 1, node.entry(), whole=True)
+    made.until(lambda: made.proxy.choice.nodes)
+    agent.line(watch, 2, node.entry("DRAINING", hostPort="nowhere"))
+    made.until(lambda: made.proxy.choice.nodes["n0"].state == LEAVING)
+
+
+def test_a_watch_that_ends_within_a_line_tells_nothing_of_it_and_is_opened_anew(moment):
+    agent, nodes = Agent(), [Node("n0"), Node("n1")]
+    made = moment(discovery=agent)
+    watch, _ = agent.call()
+    agent.line(watch, 1, nodes[0].entry(), whole=True)
+    made.until(lambda: made.proxy.choice.nodes)
+    # One line whole, half of the next, and the end, in one read.
+    whole = b'{"generation":2,"reset":false,"instances":[]}\n{"generation":3,"reset":fa'
+    watch.sendall(b"%x\r\n%b\r\n" % (len(whole), whole))
+    watch.close()
+    made.until(lambda: made.proxy.discovery.body is None)
+    made.pass_by(made.proxy.settings.pauses[1] * 2)
+    assert agent.call()[1] == 2
+
+
+def test_no_pause_between_calls_comes_near_the_grace_of_a_drain():
+    # What the agent gets at its return counts as told at once: the next call comes well within the grace.
+    for grace in (1_000, 600, 250, 40):
+        made = Settings(1, {"rules": {"stop_sending_within": grace * 1_000_000}})
+        pauses = [made.asking.failed(0) for _ in range(300)]
+        assert max(pauses) < grace * 1_000 / 2, grace
+    asked = Settings(1, {"discovery": "ask", "rules": {"ask_within": 10**10, "stop_sending_within": 10**9}})
+    assert asked.pauses == (750_000, 6_000_000)  # one service for all: its calls cost the fleet
+
+
 # Write-outs and connections to nodes.
