SIGHUP to one stream a connection tears down no other write-out, and turns no wheel

Cause, by reading: give_up drops the connection where a connection takes one write-out (nodes.py, linger 0), which was also done to one that still carries several from before the SIGHUP: a client that left took a neighbour's non-retryable write with it ("-ERR failed", seen with real connections: the neighbour's connection is reset). And a connection already left to linger asked each turn whether it is over, its next look being due at once. Both end by the same way now: such a connection goes once none of what is on it is waited for.

Guards, sound before: a kept connection ended by its node in the turn of the write (one end, no second effect); a connection that comes up after its node's drain; an answer and a reset in one read.

--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -302,10 +302,12 @@
         if sending.partial():
             self.end(sending, SUPERSEDED if outcome == RECALLED else REFUSED)
             return link.drop(code)
-        if not self.linger:
+        others = [other for other in link.out if other is not sending]
+        if not self.linger and all(other.over for other in others):
             link.drop(code)
-        elif not any(other.over for other in link.out):
-            link.deadline = self.deadlines.at(self.now() + self.linger, self.lingered, link, code)
+        elif not any(other.over for other in others):  # else it is seen to already
+            # Also where a connection takes one at a time by now: guards those that are on it from before.
+            link.deadline = self.deadlines.at(self.now() + self.LINGER, self.lingered, link, code)
         self.end(sending, outcome)
 
     def lingered(self, link: Link, code: str) -> None:
@@ -313,7 +315,7 @@
             # Guards the next req there: where one connection says nothing more, idle ones are no better.
             self.leave(link.place, "suspect")
             return link.drop(code)
-        link.deadline = self.deadlines.at(self.now() + self.linger, self.lingered, link, code)
+        link.deadline = self.deadlines.at(self.now() + self.LINGER, self.lingered, link, code)
 
     def end(self, sending: Sending, outcome: str, value: bytes | None = None) -> None:
         if sending.over:
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -9,6 +9,7 @@
 import time
 
 import pytest
+from conftest import METHODS
 from helpers import hit, told
 from moments import Agent, Moment, Node, gets
 from test_main import free_port
@@ -323,3 +324,99 @@
 
 
 # Write-outs and connections to nodes.
+
+
+def test_with_one_stream_a_connection_from_now_on_no_other_write_out_is_torn_down(moment):
+    # SIGHUP takes a connection's streams to one while it carries two: one client leaves, the other is a write
+    # that can't be repeated and has nothing to do with it.
+    node = Node("n0")
+    patient = [one | {"latency_budget": 60 * 10**9, "give_up": 60 * 10**9} for one in METHODS]
+    made = moment(node, run=told(methods=patient, streams_per_conn=10, may_duplicate=True))
+    asking = [made.client() for _ in range(made.proxy.nodes.FEW)]
+    for number, one in enumerate(asking):
+        one.send(gets(1, b"%d." % number))
+        made.until(lambda number=number: len(made.proxy.reqs) == number + 1)
+    wires = [node.accept() for _ in asking]
+    for wire in wires:
+        wire.take()
+    paying = made.client()
+    paying.send(command(b"OBJ.SET", b"7f", b"pay", PAY, b"v"))
+    made.until(lambda: any(len(link.out) == 2 for link in made.proxy.nodes.links.values()))
+    shared = made.turn(lambda: next(link for link in made.proxy.nodes.links.values() if len(link.out) == 2))
+    reading, port = shared.out[0].frame.before, shared.transport.getHost().port
+    wire = next(wire for wire in wires if wire.socket.getpeername()[1] == port)
+    assert wire.take()[0] == b"OBJ.SET"
+    made.turn(made.proxy.nodes.tune, 10_000_000, 250_000, 1)
+    next(one for number, one in enumerate(asking) if b"%d.0" % number in reading).end()
+    made.until(lambda: len(made.proxy.sendings) == len(asking))
+    before = made.turn(lambda: made.proxy.deadlines.count)
+    made.pass_by(made.proxy.nodes.LINGER)
+    assert made.turn(lambda: made.proxy.deadlines.count) - before < 20  # no round after round of nothing
+    wire.send(hit(b"late") + hit(b"receipt"))
+    assert paying.take() == b"receipt"
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_a_kept_connection_that_its_node_has_ended_takes_no_effect_twice(moment, how):
+    # The end is in the kernel, not read yet, when the write goes out: it may have run for all we know.
+    node = Node("n0")
+    made = moment(node)
+    asking = made.client()
+    asking.send(gets(1))
+    kept = node.accept()
+    kept.take()
+    kept.send(hit())
+    assert asking.take() == b"v"
+    made.until(lambda: made.proxy.nodes.resting)
+
+    def turn():
+        getattr(kept, how)()
+        clients(made)[0].dataReceived(command(b"OBJ.SET", b"7f", b"2", PAY, b"v"))
+
+    made.turn(turn)
+    answer = asking.take()
+    assert answer == "-ERR failed"
+    assert made.turn(lambda: not made.proxy.sendings and not made.proxy.reqs)
+
+
+def test_a_write_out_that_waits_for_a_connection_is_let_go_when_its_node_drains(moment):
+    # The connection comes up only after the drain was told: nothing is written to it.
+    node, other = Node("n0"), Node("n1")
+    made = moment(node, other)
+    asking = made.client()
+
+    def turn():  # both within one turn: the connection is not up yet
+        made.client_side = clients(made)[0]
+        made.client_side.dataReceived(gets(1))
+        first = next(iter(made.proxy.sendings.values())).place
+        left = next(one for one in (node, other) if one.name == first.name)
+        made.proxy.listed([left.entry("DRAINING")], False)
+        return left
+
+    made.until(lambda: made.proxy.front.clients)
+    left = made.turn(turn)
+    stays = other if left is node else node
+    to_node = stays.accept()
+    to_node.take()
+    to_node.send(hit())
+    assert asking.take() == b"v"
+    made.until(lambda: all(link.place.name == stays.name for link in made.proxy.nodes.links.values()))
+    wire = left.accept()
+    assert wire.take() is None  # ended by us with nothing on it
+
+
+def test_an_answer_and_a_reset_in_one_read_are_an_answer(moment):
+    node = Node("n0")
+    made = moment(node)
+    asking = made.client()
+    asking.send(gets(1))
+    to_node = node.accept()
+    to_node.take()
+
+    def turn():
+        to_node.send(hit())
+        to_node.reset()
+
+    made.turn(turn)
+    assert asking.take() in (b"v", "-BUSY", "-ERR failed")  # the kernel may have thrown the answer away
+    assert made.turn(lambda: not made.proxy.sendings)
