--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -254,6 +254,8 @@
             pipe = reading()
             if number == 0:
                 process.send_signal(signal.SIGHUP)
+                os.mkfifo(tmp_path / "next")  # a pipe of its own for the second reading
+                os.replace(tmp_path / "next", path)
             os.write(pipe, told(agent))
             os.close(pipe)
         assert agents[1].call()[1] == 0
