A class that leaves its meaning open, or a limit of 0, ends the start in one line; SIGHUP compared field by field

Cause: the checks of classes ran for SIGHUP alone (settings.sound), so a start took a class without effect for the strictest, one without budget for one without any time, of two by one name the last, and a stated idle or connect time of 0 for our own default.

Another customer's settings: each field of the configuration is listed in a test as taken at SIGHUP, counting from the next start, or carried; a new one that is neither fails it. Two instances side by side share nothing.

--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -25,6 +25,7 @@
 FALL_MULTIPLE = 4.0  # of its capacity that pushes a cold node over, where the rules state none
 
 Ns = Annotated[int, Meta(ge=0)] | None  # a span in nanoseconds
+Span = Annotated[int, Meta(ge=1)] | None  # one that is none if it is 0
 Part = Annotated[float, Meta(ge=0, le=1)] | None
 Figure = Annotated[float, Meta(ge=0, le=1e12)] | None  # finite: a worth beyond all others would have no rank
 Count = Annotated[int, Meta(ge=1)] | None
@@ -51,8 +52,8 @@
 
 
 class LimitsSheet(Struct):
-    conn_idle: Ns = None
-    connect_timeout: Ns = None
+    conn_idle: Span = None
+    connect_timeout: Span = None
     streams_per_conn: Count = None
     most_write_outs: Count = None
     may_duplicate: bool | None = None
@@ -365,7 +366,7 @@
 def sound(old: Config, new: Config) -> None:
     """Guards the running proxy against a file that is broken or not yet whole: nothing of it is taken."""
     lacking(old, new, "")
-    before, names = old.settings.methods or [], set()
+    before = old.settings.methods or []
     # Those that all classes state: a window is stated by deduplicated ones alone.
     keys = MethodSheet.__struct_fields__ if before else ()
     stated = [name for name in keys if all(getattr(one, name) is not None for one in before)]
@@ -374,12 +375,25 @@
         for name in stated:
             if getattr(one, name) is None:
                 raise FaultError(f"`{key}.{name}`: missing; all classes of the running configuration have it")
-        for name in TIMES:
-            if getattr(one, name) == 0:
-                raise FaultError(f"`{key}.{name}`: wanted a positive number, got 0")
+
+
+def classes(sheet: Sheet) -> None:
+    """Guards reqs against a class that does not say what may be done with them, or means two things."""
+    names = set()
+    for place, one in enumerate(sheet.methods or []):
+        key = f"settings.methods[{place}]"
+        if not one.name:
+            raise FaultError(f"`{key}.name`: wanted a name, got none")
         if one.name in names:
             raise FaultError(f"`{key}.name`: {one.name!r} is named twice")
         names.add(one.name)
+        if one.semantics is None:
+            raise FaultError(f"`{key}.semantics`: missing")
+        for name in TIMES:
+            if getattr(one, name) == 0:
+                raise FaultError(f"`{key}.{name}`: wanted a positive number, got 0")
+        if not (one.latency_budget or one.give_up):
+            raise FaultError(f"`{key}.latency_budget`: missing, and `give_up` is too")
 
 
 def load(environ: Mapping[str, str], running: Run | None = None) -> Run:
@@ -403,6 +417,7 @@
             told, kept = environ.get(f"LB_{key.upper()}"), values.get(key)
             values[key] = kept or told if running and key == "discovery" else told or kept
     config = checked(values, Config)
+    classes(config.settings)
     if running:
         for key in sorted(running.stated & {*Config.__struct_fields__} - stated - {*ONCE}):
             raise FaultError(f"`{key}`: missing; the running configuration has it")
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -1,10 +1,15 @@
 """New settings while reqs are under way."""
 
+from copy import deepcopy
+
+import msgspec
+import pytest
 from helpers import S, client, get, hit, link, proxy, told
 from twisted.internet.error import ConnectionLost
 from twisted.python.failure import Failure
 
 from ivystack.model import NON_RETRYABLE, RETRYABLE
+from ivystack.settings import Config, MethodSheet, Run, Settings, Sheet, TenantSheet
 
 
 def sheet(name, semantics="pure", budget=10**9):
@@ -96,3 +101,113 @@
     made.reload(told(streams_per_conn=1, connect_timeout=100_000_000, conn_idle=10**9, may_duplicate=True))
     assert (made.nodes.deep, made.nodes.connect_timeout, made.nodes.idle) == (1, 100_000, 800_000)
     assert made.choice.may_duplicate and made.settings.may_duplicate
+
+
+# Another customer's settings: every field of the configuration, one by one.
+
+FULL = {
+    "methods": [{
+        "name": "a", "semantics": "token", "latency_budget": 10**9, "give_up": 2 * 10**9, "criticality": 1.0,
+        "tardy_criticality": 0.1, "group": "zone", "window": 10**9,
+    }],
+    "parties": [{"name": "t", "allowance_per_s": 5.0}],
+    "kinds": ["big", "small"],
+    "limits": {
+        "conn_idle": 10**10, "connect_timeout": 10**8, "streams_per_conn": 10, "most_write_outs": 3,
+        "may_duplicate": True, "retry_after": True, "max_retry_after": 10**9, "peers": True,
+    },
+    "rules": {
+        "cold": 10**9, "cold_share": 0.5, "overload_factor": 3.0, "ask_within": 10**10,
+        "stop_sending_within": 10**9,
+    },
+    "specifics": {"origin_kind": 1},
+    "reporting": {"how": "answers", "columns": ["active"]},
+    "blend": {},
+    "zone": "z", "zones": ["z", "y"], "discovery": "ask", "weight_source": "nominal",
+    "excess_criticality": 0.1, "n_instances": 40, "slot_no": 3, "granularity": 10**6,
+}  # fmt: skip
+# By path: another value; with what else it counts for something.
+OTHERS = {
+    "methods": [[FULL["methods"][0] | {name: value}] for name, value in {
+        "name": "b", "semantics": "pure", "latency_budget": 10**8, "give_up": 10**8, "criticality": 9.0,
+        "tardy_criticality": 0.5, "group": "all", "window": 10**8,
+    }.items()],
+    "parties": [[{"name": "u", "allowance_per_s": 5.0}], [{"name": "t", "allowance_per_s": 9.0}], []],
+    "kinds": [["small", "big"]],
+    "limits.conn_idle": [5 * 10**9], "limits.connect_timeout": [10**7], "limits.streams_per_conn": [1],
+    "limits.most_write_outs": [1], "limits.may_duplicate": [False], "limits.retry_after": [False],
+    "limits.max_retry_after": [10**8], "limits.peers": [False],
+    "rules.cold": [10**10], "rules.cold_share": [0.9], "rules.overload_factor": [2.5],
+    "rules.ask_within": [10**9], "rules.stop_sending_within": [10**8],
+    "specifics.origin_kind": [0, None], "reporting.how": ["none"], "reporting.columns": [["waiting"], []],
+    "discovery": ["push"], "weight_source": ["none", "live", "rough"], "excess_criticality": [0.9],
+    "n_instances": [4, 400], "slot_no": [7], "granularity": [10**7],
+}  # fmt: skip
+CARRIED = {"zone", "zones"}  # checked; no decision rests on them
+AT_START = {"listen", "admin_addr", "name", "limits", "peer_listen", "seed", "known"}
+AT_ONCE = {"settings", "discovery", "peers"}
+SEEN = ("seen", "slots", "known", "rng", "keep")  # what a part has learned, not been told
+
+
+def says(of, deep=0):
+    """All that an instance was told: figures and words, those of its parts too."""
+    if isinstance(of, bool | int | float | str | bytes | frozenset | type(None)):
+        return of
+    if isinstance(of, dict):
+        return {str(key): says(one, deep + 1) for key, one in of.items()}
+    if isinstance(of, list | tuple | set):
+        return sorted((says(one, deep + 1) for one in of), key=repr) if isinstance(of, set) else [
+            says(one, deep + 1) for one in of
+        ]
+    names = [*getattr(of, "__slots__", ()), *getattr(of, "__dict__", ())]
+    if deep > 4 or not type(of).__module__.startswith("ivystack"):
+        return None
+    return {name: says(getattr(of, name), deep + 1) for name in names if name not in SEEN}
+
+
+def leaves(kind, path=""):
+    """The paths of all fields of a sheet."""
+    for field in msgspec.structs.fields(kind):
+        either = [one for one in getattr(field.type, "__args__", ()) if isinstance(one, type)]
+        inner = next((one for one in either if issubclass(one, msgspec.Struct)), None)
+        yield from leaves(inner, f"{path}{field.name}.") if inner else [path + field.name]
+
+
+def test_every_field_of_the_configuration_is_known_to_count_at_once_or_from_the_next_start():
+    # A new one belongs into one of these lists, and what it does at SIGHUP into the test below.
+    known = {*OTHERS, *CARRIED}
+    assert {path for path in leaves(Sheet) if not path.startswith("blend.")} == known
+    assert {field.name for field in msgspec.structs.fields(Config)} == AT_START | AT_ONCE
+    assert {*Run.FIXED} == AT_START - {"seed", "known"}
+    assert {*MethodSheet.__struct_fields__} == {*FULL["methods"][0]}
+    assert {*TenantSheet.__struct_fields__} == {*FULL["parties"][0]}
+
+
+@pytest.mark.parametrize("path", OTHERS)
+def test_settings_taken_at_sighup_are_those_of_a_start_with_them(path):
+    # Guards against another customer's settings showing: nothing of the former ones may stay.
+    for value in OTHERS[path]:
+        values = deepcopy(FULL)
+        *way, last = path.split(".")
+        inner = values
+        for name in way:
+            inner = inner[name]
+        inner[last] = value
+        ours, fresh = Settings(7, FULL), Settings(7, values)
+        assert says(ours) != says(fresh), "it counts for nothing: the test shows nothing"
+        ours.take(Settings(7, values))
+        for one in (ours, fresh):  # kinds keep their numbers, since nodes name them by these
+            one.choice.origin_kind = {place: name for name, place in one.kinds.items()}.get(one.choice.origin_kind)
+            one.kinds = {*one.kinds}
+        assert says(ours) == says(fresh)
+
+
+def test_two_instances_side_by_side_keep_nothing_of_each_other():
+    # Signing's figures may not show in another's process, nor one instance's in its neighbour.
+    before = says(Settings(7, FULL))
+    other = Settings(7, {"methods": [{"name": "b", "semantics": "pure", "give_up": 10**7}]})
+    other.take(Settings(7, FULL))
+    other.take(Settings(7, {}))
+    assert says(Settings(7, FULL)) == before
+    other.kinds = {}  # the nodes' that have them keep their numbers
+    assert says(other) == says(Settings(7, {}))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -36,6 +36,27 @@
             load(environ)
 
 
+def test_a_class_that_leaves_its_meaning_open_and_a_limit_of_0_end_the_start(tmp_path):
+    # Guards reqs: a class without effect was taken for the strictest, one without budget had no time at all,
+    # and of two by one name the last was meant.
+    good = {"name": "m", "semantics": "pure", "latency_budget": 5_000, "give_up": 9_000}
+    for key, settings in {
+        "settings.methods[0].semantics": {"methods": [good | {"semantics": None}]},
+        "settings.methods[1].name": {"methods": [good, good]},
+        "settings.methods[0].name": {"methods": [good | {"name": ""}]},
+        "settings.methods[0].latency_budget": {"methods": [good | {"latency_budget": None, "give_up": None}]},
+        "settings.methods[0].give_up": {"methods": [good | {"give_up": 0}]},
+        "settings.limits.streams_per_conn": {"limits": {"streams_per_conn": 0}},
+        "settings.limits.most_write_outs": {"limits": {"most_write_outs": 0}},
+        "settings.limits.connect_timeout": {"limits": {"connect_timeout": 0}},
+        "settings.limits.conn_idle": {"limits": {"conn_idle": 0}},
+    }.items():
+        with pytest.raises(FaultError) as fault:
+            loaded(tmp_path, settings=settings)
+        assert key in str(fault.value) and "\n" not in str(fault.value)
+    assert loaded(tmp_path, settings={"methods": [good]}).settings.methods
+
+
 def test_what_is_absent_or_null_gets_its_default():
     settings = Settings(1, {"limits": None, "methods": [{"name": "m", "give_up": 5_000}]})
     assert settings.choice.most == 1 and settings.methods["m"].latency_budget == 5
