--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -25,7 +25,6 @@
 FALL_MULTIPLE = 4.0  # of its capacity that pushes a cold node over, where the rules state none
 
 Ns = Annotated[int, Meta(ge=0)] | None  # a span in nanoseconds
-Span = Annotated[int, Meta(ge=1)] | None  # one that is none if it is 0
 Part = Annotated[float, Meta(ge=0, le=1)] | None
 Figure = Annotated[float, Meta(ge=0, le=1e12)] | None  # finite: a worth beyond all others would have no rank
 Count = Annotated[int, Meta(ge=1)] | None
@@ -52,8 +51,8 @@
 
 
 class LimitsSheet(Struct):
-    conn_idle: Span = None
-    connect_timeout: Span = None
+    conn_idle: Ns = None
+    connect_timeout: Ns = None
     streams_per_conn: Count = None
     most_write_outs: Count = None
     may_duplicate: bool | None = None
@@ -377,9 +376,13 @@
                 raise FaultError(f"`{key}.{name}`: missing; all classes of the running configuration have it")
 
 
-def classes(sheet: Sheet) -> None:
-    """Guards reqs against a class that does not say what may be done with them, or means two things."""
+def meant(sheet: Sheet) -> None:
+    """Guards reqs against a class that does not say what may be done with them, or means two things, and
+    connections against a time of 0, for which our default would stand in."""
     names = set()
+    for name in ("conn_idle", "connect_timeout"):
+        if sheet.limits and getattr(sheet.limits, name) == 0:
+            raise FaultError(f"`settings.limits.{name}`: wanted a positive number, got 0")
     for place, one in enumerate(sheet.methods or []):
         key = f"settings.methods[{place}]"
         if not one.name:
@@ -417,7 +420,7 @@
             told, kept = environ.get(f"LB_{key.upper()}"), values.get(key)
             values[key] = kept or told if running and key == "discovery" else told or kept
     config = checked(values, Config)
-    classes(config.settings)
+    meant(config.settings)
     if running:
         for key in sorted(running.stated & {*Config.__struct_fields__} - stated - {*ONCE}):
             raise FaultError(f"`{key}`: missing; the running configuration has it")
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -197,7 +197,8 @@
         assert says(ours) != says(fresh), "it counts for nothing: the test shows nothing"
         ours.take(Settings(7, values))
         for one in (ours, fresh):  # kinds keep their numbers, since nodes name them by these
-            one.choice.origin_kind = {place: name for name, place in one.kinds.items()}.get(one.choice.origin_kind)
+            names = {place: name for name, place in one.kinds.items()}
+            one.choice.origin_kind = names.get(one.choice.origin_kind)
             one.kinds = {*one.kinds}
         assert says(ours) == says(fresh)
 
