The rig: clients that leave in bursts, and a checker of reqs sent on for nobody

The operators' new term: of all reqs whose client left while they waited, over a quarter written out more than 0.3 s later is a breach (rules: for_nobody), found in a planted record.

--- a/ivystack/load/clients.py
+++ b/ivystack/load/clients.py
@@ -17,6 +17,7 @@
 from .arrivals import Arrival
 
 SERVED, NACKED, FAILED, LOST, NEVER, UNSENT = "served", "nacked", "failed", "lost", "never", "unsent"
+LEFT = "left"
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +46,7 @@
     answers: list[tuple[int, str, bytes]] = field(default_factory=list)  # when, which, what
     ended: int | None = None  # its connection ended then, and nothing had come
     crossed: bool = False  # on a kept connection that ended, it may be before it was read
+    left: int | None = None  # its client went away then, and nothing had come
 
 
 @dataclass(eq=False, slots=True)
@@ -125,6 +127,7 @@
         self.classes = {one.name: one for one in classes}
         self.refused = refused if refused is not None else set()
         self.idle: dict[str, deque[Link]] = {name: deque() for name in places}
+        self.busy: dict[Link, None] = {}
         self.reqs: list[Asked] = []
         self.tries: list[Try] = []
         self.count = 0
@@ -170,6 +173,7 @@
         asked.tries.append(made)
         self.tries.append(made)
         link.asked, link.last = asked, made
+        self.busy[link] = None
         link.sent += 1
         fields = b"c=%b,d=%d" % (method.name.encode(), method.wait // 1000)
         fields += b",k=%b" % asked.mark if asked.mark else b""
@@ -193,6 +197,7 @@
         if asked is None:  # something came that nothing was owed for: the record has it
             return
         link.asked = None
+        self.busy.pop(link, None)
         if not self.shut:
             self.idle[link.proxy].append(link)
         self.concluded(asked, made, kind, text)
@@ -201,12 +206,26 @@
         """A second beyond its time: nobody waits any more."""
         if link.last is made and link.asked is not None:
             asked, link.asked = link.asked, None
+            self.busy.pop(link, None)
             link.transport.abortConnection()
             self.concluded(asked, made, NEVER, b"")
 
+    def leave(self, proxies: list[str], part: float) -> None:
+        """So many of those that wait for an answer go away, half of them with a reset; none asks again."""
+        for link in [link for link in self.busy if link.proxy in proxies and self.rng.random() < part]:
+            asked, link.asked = link.asked, None
+            del self.busy[link]
+            link.last.left = asked.ended = self.now()
+            asked.outcome = LEFT
+            if self.rng.random() < 0.5:
+                link.transport.abortConnection()
+            else:
+                link.transport.loseConnection()
+
     def lost(self, link: Link) -> None:
         if link in self.idle[link.proxy]:
             self.idle[link.proxy].remove(link)
+        self.busy.pop(link, None)
         asked, made, link.asked = link.asked, link.last, None
         if asked is None or made is None:
             return
--- a/ivystack/rig/faults.py
+++ b/ivystack/rig/faults.py
@@ -14,7 +14,7 @@
 from .check import Excuse
 from .processes import Process
 from .record import US, Mark
-from .scenario import AIMED, FILES, HOLDER, LEADER, LINK, LISTS, PEER, PROCESS, TRIER, Fault, found
+from .scenario import AIMED, CLIENTS, FILES, HOLDER, LEADER, LINK, LISTS, PEER, PROCESS, TRIER, Fault, found
 
 
 class Faults:
@@ -70,6 +70,9 @@
             self.to_links(fault, undo)
         elif fault.kind in LISTS:
             self.to_list(fault, undo)
+        elif fault.kind in CLIENTS:
+            self.mark("clients", f"{fault.kind} {fault.part:g}", undo)
+            self.rig.clients.leave(found(fault.who, [*self.rig.processes], "who"), fault.part)
         elif fault.kind in PEER:
             self.mark("rig", fault.kind, undo)
             self.rig.agreeing.lies = True
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -71,6 +71,18 @@
     assert broken(lost, [Excuse(600, 800, "p0", "n0")]) == [("one answer", 700)]
 
 
+def test_reqs_that_are_sent_on_after_their_client_has_left_are_found():
+    # Counted against all that waited: one that a node had before is none of them.
+    gone = [one(answers=(), ident=b"%d" % n, left=1000) for n in range(8)]
+    late = [taken(400_000, ident=b"%d" % n) for n in range(3)]
+    soon = [taken(300_000, ident=b"%d" % n) for n in range(3, 6)]
+    assert broken(gone, taken=soon) == [] == broken(gone, taken=soon + late[:2])
+    assert broken(gone, taken=soon + late) == [("nothing is sent on for nobody", 400_000)]
+    had = [taken(900, ident=b"%d" % n) for n in range(4, 8)]
+    assert broken(gone, taken=had + late[:1]) == []
+    assert broken(gone, taken=had + late[:2]) == [("nothing is sent on for nobody", 400_000)]
+
+
 def test_a_req_that_crossed_an_end_was_not_accepted_unless_a_node_has_had_it():
     crossed = [one("pay", (), ended=700, crossed=True)]
     assert broken(crossed) == []
@@ -244,6 +256,13 @@
     assert code == 0, told
 
 
+def test_clients_that_leave_in_bursts_while_nodes_fail_leave_no_work_behind(tmp_path):
+    code, told, _ = ivy("rig", "play", "leaving", "--keep", str(tmp_path))
+    assert code == 0, told
+    gone = [line for line in (tmp_path / "tries.jsonl").read_text().splitlines() if '"left":null' not in line]
+    assert len(gone) > 20
+
+
 def altered(folder, path, before, after):
     """A copy of the program with one line changed."""
     shutil.copytree(PACKAGE, folder / "ivystack", ignore=shutil.ignore_patterns("__pycache__"))
