--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -422,3 +422,92 @@
     made.turn(turn)
     assert asking.take() in (b"v", "-BUSY", "-ERR failed")  # the kernel may have thrown the answer away
     assert made.turn(lambda: not made.proxy.sendings)
+
+
+@pytest.mark.parametrize("streams", [1, 10])
+def test_an_answer_in_the_turn_of_its_deadline_is_nobodys_and_never_the_next_ones(moment, streams):
+    node = Node("n0")
+    made = moment(node, streams_per_conn=streams, may_duplicate=True)
+    asking = made.client()
+    asking.send(gets(1))
+    to_node = node.accept()
+    to_node.take()
+
+    def turn():  # the answer is in the kernel when the deadline is due
+        to_node.send(hit(b"late"))
+        made.at += 1_000_000
+        made.proxy.deadlines.fire()
+
+    made.turn(turn)
+    assert asking.take() == "-BUSY"
+    asking.send(gets(1, b"next"))
+    made.until(lambda: any(link.out and link.out[-1].frame for link in made.proxy.nodes.links.values()))
+    if made.turn(lambda: len(made.proxy.nodes.links)) > 1 or to_node.take() is None:
+        to_node = node.accept()
+        to_node.take()
+    to_node.send(hit(b"own"))
+    assert asking.take() == b"own"
+
+
+def test_an_answer_in_the_turn_in_which_its_client_goes_ends_all_once(moment):
+    node = Node("n0")
+    made = moment(node)
+    for how in ("end", "reset"):
+        asking = made.client()
+        asking.send(gets(1))
+        to_node = node.accept()
+        to_node.take()
+
+        def turn(asking=asking, to_node=to_node, how=how):
+            to_node.send(hit())
+            getattr(asking, how)()
+
+        made.turn(turn)
+        made.until(lambda: not made.proxy.front.clients and not made.proxy.sendings and not made.proxy.reqs)
+        assert not made.turn(lambda: made.proxy.front.ids)
+        made.turn(made.proxy.nodes.leave, made.proxy.nodes.places["n0"], "done")
+
+
+def test_a_node_that_goes_from_the_list_finishes_what_it_has_and_gets_nothing_more(moment):
+    agent, node = Agent(), Node("n0")
+    made = moment(discovery=agent)
+    watch, _ = agent.call()
+    agent.line(watch, 1, node.entry(), whole=True)
+    made.until(lambda: made.proxy.choice.nodes)
+    asking = made.client()
+    asking.send(gets(1))
+    to_node = node.accept()
+    to_node.take()
+    agent.line(watch, 2, whole=True)
+    made.until(lambda: made.proxy.discovery.generation == 2)
+    to_node.send(hit())
+    assert asking.take() == b"v" and to_node.take() is None
+
+
+def test_a_move_of_discovery_in_its_pause_in_a_call_and_to_an_address_that_refuses(moment):
+    first, second = Agent(), Agent()
+    made = moment(discovery=first)
+    watch, _ = first.call()
+    first.line(watch, 7, Node("n0").entry(), whole=True)
+    made.until(lambda: made.proxy.discovery.generation == 7)
+    watch.close()
+    made.until(lambda: made.proxy.discovery.body is None)  # the pause: time stands still
+    made.turn(made.proxy.discovery.move, second.address)
+    watch, since = second.call()
+    assert since == 7
+    made.until(lambda: made.proxy.discovery.body is not None)
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        nowhere = free.getsockname()
+    made.turn(made.proxy.discovery.move, nowhere)
+    made.until(lambda: made.proxy.discovery.call is None and made.proxy.discovery.body is None)
+    second.line(watch, 9, Node("n0").entry("DRAINING"))  # nobody listens there any more
+    hung = socket.create_server(("127.0.0.1", 0))
+    made.turn(made.proxy.discovery.move, hung.getsockname())
+    late = hung.accept()[0]
+    late.recv(65_536)
+    made.turn(made.proxy.discovery.move, first.address)  # amid the call, whose answer comes too late
+    watch, since = first.call()
+    assert since == 7
+    late.close()
+    first.line(watch, 8, Node("n1").entry())
+    made.until(lambda: made.proxy.discovery.generation == 8 and len(made.proxy.choice.nodes) == 2)
