The test of operators beside half-said calls: each says its half while it is the newest

Cause: the test's, 40 connect and only then speak, and the operators' address cuts off the oldest beyond sixteen, as it should; with half a second between the two it failed every time. Each now speaks as soon as it is connected; what is asked for is the same.

--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -134,9 +134,10 @@
         admin_addr=f"127.0.0.1:{operators}", known={"generation": 1, "reset": True, "instances": [node]},
     )  # fmt: skip
     connected(port).close()
-    holding = [connected(operators) for _ in range(40)]
-    for one in holding:
-        one.sendall(b"GET /_ready HTTP/1.1\r\n")
+    holding = []
+    for _ in range(40):  # each says its half while it is the newest: the oldest are cut off beyond sixteen
+        holding.append(connected(operators))
+        holding[-1].sendall(b"GET /_ready HTTP/1.1\r\n")
     try:
         assert call(operators, "GET", "/_ready") == 200
         with connected(port) as idle:
