--- a/ivystack/__main__.py
+++ b/ivystack/__main__.py
@@ -101,5 +101,7 @@
     if len(sys.argv) > 1:  # a command: its packages are none of the proxy's
         from .cli import main as commands
 
+        if sys.argv[1] != "serve":  # a closed terminal ends them, as it does any command
+            signal.signal(signal.SIGHUP, signal.SIG_DFL)
         commands(prog_name="ivystack", obj=main)
     sys.exit(main())
--- a/ivystack/net/ends.py
+++ b/ivystack/net/ends.py
@@ -48,7 +48,9 @@
 
     def doRead(self) -> None:  # noqa: N802
         for fd, _ in self.epoll.poll(0):
-            self.ended(self.watched[fd])
+            one = self.watched.get(fd)
+            if one is not None:
+                self.ended(one)
 
     def connectionLost(self, reason) -> None:  # noqa: N802
         """The reactor stops."""
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -264,6 +264,17 @@
         process.wait()
 
 
+def test_a_sighup_ends_a_command_that_is_no_proxy(tmp_path):
+    os.mkfifo(tmp_path / "config")
+    process = subprocess.Popen(
+        [sys.executable, "-B", "-m", "ivystack", "check-config", str(tmp_path / "config")],
+        stderr=subprocess.DEVNULL,
+    )  # fmt: skip
+    with open(tmp_path / "config", "w"):  # it reads
+        process.send_signal(signal.SIGHUP)
+        assert process.wait(10) == -signal.SIGHUP
+
+
 # The list of nodes.
 
 
