--- a/ivystack/rig/check.py
+++ b/ivystack/rig/check.py
@@ -52,7 +52,7 @@
 
 
 def rules(tries: list[Try], ledger: Ledger, excuses: list[Excuse], terms: Terms) -> list[Breach]:
-    """Every breach of the four rules, in the order of their times."""
+    """Every breach of the four rules, and of reqs sent on for nobody, in the order of their times."""
     found = [
         *one_answer(tries, ledger, excuses, terms),
         *one_effect(tries, ledger, terms),
