A repeat keeps its window up to its last byte; what proves that an attempt never ran is told narrower

The attempt then waited in `Place.waiting` up to the connect timeout, and `Nodes.free` wrote it whenever a connection came up:

21.475 go n=2 node=s- since_first=85557 (window 175854) 21.734 write n=2 age=259670 (169269 past the window)

Ruled out by the same trace: the group (both in one cell), a second copy, a nack, an answer taken for another's.

Choice.latest states by when the last byte must be out; `where` gives it to the attempt (and to the one that still waits when its copy goes out first, which is then the repeat), Nodes ends what misses it as superseded: it was never sent, and is held against nobody. Such an attempt goes behind nothing on a connection, since what holds back those before it would hold it back too.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -708,7 +708,11 @@
         self.spare -= again
         until = self.until(req, node, now, end)
         sick = self.sick(node, req.method)
-        write_out = WriteOut(req, node, now, until, trial=sick is not None)
+        latest = self.latest(req)
+        at = dict(latest=latest, zone=node.zone, cell=node.cell)
+        write_out = WriteOut(req, node, now, until, trial=sick is not None, **at)
+        for one in out:  # one that still waits to go out is the repeat then, and this the first
+            one.latest = min(one.latest, latest)
         if sick:
             self.health.failed(sick, False, now)
         req.write_outs.append(write_out)
@@ -879,20 +883,23 @@
         return req.method.semantics == RETRYABLE or deduplicated or not self.may_have_run(req)
 
     def may_send_again(self, req: Req, now: int) -> bool:
-        if req.once or len(req.write_outs) >= self.most:
-            return False
+        return not req.once and len(req.write_outs) < self.most and now < self.latest(req)
+
+    def latest(self, req: Req) -> float:
+        """By when the last byte of its next write-out must have gone out.  Guards the effect: a decision made
+        within the window says nothing of when a connection comes up, or a socket takes what is written."""
         ran = self.may_have_run(req)
         if not ran or req.method.semantics == RETRYABLE:
-            return True
+            return inf
         # Ends a tick early: the window is the nodes' to keep, and the repeat must reach one within it.
-        last = ran[0].sent + req.method.window - self.MARGIN * self.tick
-        return req.method.semantics == DEDUPLICATED and now < last
+        window = req.method.window - self.MARGIN * self.tick
+        return ran[0].sent + window if req.method.semantics == DEDUPLICATED else -inf
 
     def within_group(self, req: Req, node: Node) -> bool:
         if req.method.semantics != DEDUPLICATED or req.method.group == "all":
             return True
         return all(
-            node.zone == w.node.zone and (req.method.group == "zone" or node.cell == w.node.cell)
+            node.zone == w.zone and (req.method.group == "zone" or node.cell == w.cell)
             for w in self.may_have_run(req)
         )
 
@@ -910,6 +917,7 @@
             # The rank counts half: it already let the req miss, and turned away here that was for nothing.
             part = (1 + req.part) / 2
             fit = [node for node in self.origins if self.room.has(node, part, now, 0, rest, True)]
+            fit = [node for node in fit if self.within_group(req, node)]
             if not req.write:
                 self.lean = min(1.0, max(0.0, self.lean + (self.LEAN_OFF if fit else self.LEAN)))
             return min(fit, key=lambda node: node.in_flight, default=None)
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -127,6 +127,9 @@
     sent: int
     until: int
     outcome: str | None = None  # None: still out
+    latest: float = inf  # by when its last byte must have gone out, else it must not go out at all
+    zone: str = ""  # its node's when it was decided: a node's name may come back elsewhere
+    cell: int = 0
     doubted: bool = False  # its lateness was already held against the node
     fresh: bool = False  # the first on its connection, where the caller knows of these
     trial: bool = False
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -13,7 +13,8 @@
 from twisted.internet.protocol import ClientFactory
 
 from ..model import (  # fmt: skip
-    ERRORED, FULL, MISSED, OVERDUE, RECALLED, REFUSED, SATISFIED, SEVERED, SUPERSEDED, UNFIT, WriteOut,
+    ERRORED, FULL, MISSED, OVERDUE, RECALLED, REFUSED, RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, UNFIT,
+    WriteOut,
 )
 from . import tables
 from .relay import Relay, Upload
@@ -69,6 +70,7 @@
         self.up = False
         self.reading = False  # more may lie behind the answer just read
         self.last = (0, 0)  # the value that came last, hashed, or a long one's size; and when
+        self.busy_at = -Nodes.DOUBT  # when it last turned a write-out away
         self.relay: Relay | None = None  # the long answer that is being passed on
         self.slot = nodes.links.put(self)
 
@@ -134,18 +136,21 @@
         self.link.nodes.lost(self.link, code)
 
 
-def outcome_of(value) -> str | None:
-    """The outcome that an answer of the protocol's table proves; None if it is not in the table.
+def outcome_of(value, aside: bool = False) -> str | None:
+    """The outcome that an answer of the protocol's table proves; None if it is not in the table.  Where nodes
+    read through, that no value was found is no answer at all: it proves nothing.
 
     >>> outcome_of([b"value", b"hit", None]), outcome_of("-BUSY"), outcome_of("-ERR failed")
     ('satisfied', 'full', 'errored')
     >>> outcome_of("-ERR bad request"), outcome_of([b"value"]), outcome_of(":5"), outcome_of(None)
     ('unfit', None, None, None)
+    >>> outcome_of([None, b"miss", None]), outcome_of([None, b"miss", None], aside=True)
+    (None, 'missed')
     """
     if isinstance(value, list) and len(value) == 3 and isinstance(value[1], bytes | None):
         if isinstance(value[0], bytes | Given):
             return SATISFIED
-        return MISSED if value[0] is None and value[1] == b"miss" else None
+        return MISSED if aside and value[0] is None and value[1] == b"miss" else None
     if not isinstance(value, str) or not value.startswith("-"):
         return None
     if value.startswith(("-ERR bad", "-SYNTAX")):
@@ -159,15 +164,16 @@
     AHEAD = 0.8  # of the time after which a node closes an idle one, we do: theirs may cross a write-out
     FEW = 6  # connections to a node before a write-out goes behind others instead of on a new one
     COPY = 5_000  # two equal values so soon after each other are one and its copy: each is made for its req
+    DOUBT = 100_000  # so soon after another a -BUSY may be that one's copy: they come some milliseconds late
     STALLS = 10_000_000  # without a byte of a long answer that is being passed on: peers take seconds for one
     LITTLE = 262_144  # bytes of an answer nobody wants that are sooner read than a connection made anew
     LINGER = 1_000_000  # for an answer nobody waits for: most late ones come by then, a hung node's never
 
-    def __init__(self, reactor, deadlines, now, ended, sockets, idle, connect_timeout, deep, memory):
+    def __init__(self, reactor, deadlines, now, ended, sockets, idle, connect_timeout, deep, aside, memory):
         self.reactor, self.deadlines, self.now = reactor, deadlines, now
         self.ended = ended  # told of each write-out's outcome, once, never from within `send`
         self.relaying: dict[Link, Relay] = {}
-        self.tune(idle, connect_timeout, deep)
+        self.tune(idle, connect_timeout, deep, aside)
         self.links = tables.Slots()
         self.places: dict[str, Place] = {}
         self.resting: OrderedDict[Link, None] = OrderedDict()  # idle ones, longest first
@@ -180,10 +186,11 @@
             self.no_longer_idle(link)
             link.close("no-room")
 
-    def tune(self, idle: int, connect_timeout: int, deep: int) -> None:
+    def tune(self, idle: int, connect_timeout: int, deep: int, aside: bool = False) -> None:
         self.idle, self.connect_timeout = int(idle * self.AHEAD), connect_timeout
         self.deep = deep  # write-outs on a connection at once; one where giving up is closing
         self.linger = self.LINGER if deep > 1 else 0
+        self.aside = aside  # nodes tell that they lack a value, and fetch none themselves
 
     # Where nodes are.
 
@@ -195,6 +202,8 @@
         if place.address != address or restarted:  # what is open leads to a process that is gone
             place.address = address
             self.leave(place, "moved")
+            for sending in [*place.waiting]:  # meant for that one: where it goes now is decided anew
+                self.end(sending, SUPERSEDED)
 
     def listed(self, name: str, ready: bool) -> None:
         """Nothing new goes to one that is not ready, nor does it keep a connection that has nothing to do:
@@ -239,12 +248,15 @@
             if link.code is None:
                 return self.write(link, sending)
         few = min(self.FEW, max(2, self.most // len(self.places)))  # all nodes' shall fit our table
-        if len(place.links) >= few and self.deep > 1:
+        latest = sending.write_out.latest
+        # One that must be there in time goes behind nothing: what holds back those before it would hold it
+        # back too, in our socket or in theirs, past the time at which it may still begin.
+        if len(place.links) >= few and self.deep > 1 and latest > until + self.linger:
             fit = [link for link in place.links if link.up and link.code is None and self.fits(link)]
             if fit:
                 return self.write(min(fit, key=lambda link: len(link.out)), sending)
         place.waiting.append(sending)
-        no_link = min(until, self.now() + self.connect_timeout)
+        no_link = min(until, self.now() + self.connect_timeout, latest)
         sending.until.append(self.deadlines.at(no_link, self.no_link_came, sending))
         self.open(place)
 
@@ -289,7 +301,8 @@
 
     def no_link_came(self, sending: Sending) -> None:
         if sending.link is None:  # where we opened none, it is our table that was full, not the node
-            self.end(sending, REFUSED if sending.place.opening else FULL)
+            late = self.now() >= sending.write_out.latest
+            self.end(sending, SUPERSEDED if late else REFUSED if sending.place.opening else FULL)
 
     def give_up(self, sending: Sending, outcome: str) -> None:
         """Nobody waits any more.  Where a second copy may be out, the answer is let come a little longer, to
@@ -344,8 +357,12 @@
 
     def free(self, link: Link) -> None:
         place = link.place
-        if place.waiting:
-            return self.write(link, place.waiting.popleft())
+        while place.waiting and not link.out:  # telling of one's end may have sent another on this link
+            if self.now() < place.waiting[0].write_out.latest:
+                return self.write(link, place.waiting.popleft())
+            self.end(place.waiting[0], SUPERSEDED)  # the link came too late for its window, not for its time
+        if link.out:
+            return
         if not place.ready:
             return link.close("unlisted")
         place.idle.append(link)
@@ -370,7 +387,7 @@
     def answered(self, link: Link, value) -> None:
         if not link.out:
             return link.drop("strange: an answer to nothing")
-        outcome = outcome_of(value)
+        outcome = outcome_of(value, self.aside)
         if outcome is None:
             return self.spoilt(link, f"{value!r:.40}")
         if link.relay is not None:
@@ -387,6 +404,12 @@
         elif outcome in (ERRORED, UNFIT) and value != "-ERR failed":
             logger.warning("node {}: unexpected answer {!r:.80}", link.place.name, value)
         sending = link.out.popleft()
+        if outcome == FULL:
+            busy_at, link.busy_at = link.busy_at, self.now()
+            # Guards the effect against a second copy of a -BUSY that crossed this write-out: it proves
+            # nothing of it.  A value's copy is told by the value, this one by nothing.
+            if link.busy_at - busy_at < self.DOUBT and sending.write_out.req.method.semantics != RETRYABLE:
+                outcome = RECALLED
         link.answers += 1
         link.place.broke = 0
         early = sending.partial()
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -66,7 +66,7 @@
         self.useless: deque[int] = deque(maxlen=64)  # the list's entries that can't be used and were told
         self.nodes = Nodes(
             reactor, self.deadlines, self.now, self.ended, run.sockets, run.idle, run.connect_timeout,
-            self.deep(), run.memory // Front.HELD,
+            self.deep(), self.aside(), run.memory // Front.HELD,
         )  # fmt: skip
         most = run.sockets - self.nodes.most - Front.SPARE
         self.front = Front(
@@ -185,7 +185,7 @@
         former = self.settings.take(run.settings)
         run.settings, self.run = self.settings, run
         self.front.knows(self.settings.methods, self.settings.tenants)
-        self.nodes.tune(run.idle, run.connect_timeout, self.deep())
+        self.nodes.tune(run.idle, run.connect_timeout, self.deep(), self.aside())
         logger.info(
             "configuration taken discovery={}:{} classes={} changed={}", *run.discovery,
             len(self.settings.methods), len(former),
@@ -201,6 +201,9 @@
     def deep(self) -> int:
         return self.settings.streams if self.settings.may_duplicate else 1
 
+    def aside(self) -> bool:
+        return self.choice.origin_kind >= 0
+
     def terminate(self) -> None:
         """A planned end: serve a little longer, then finish what is held."""
         if self.ending:
@@ -439,18 +442,22 @@
     def listed(self, entries: list[dict], whole: bool) -> tuple[bool, bool]:
         """Takes the news.  Whether all of it could be used, and whether what could not is new to us."""
         nodes, useless, new = [], False, False
-        for entry in entries:
-            try:
-                nodes.append(self.entry(entry))
-            except (ValueError, TypeError, KeyError, AttributeError) as fault:  # guards the rest of the news
-                useless = True
-                if (told := hash(repr(entry))) not in self.useless:  # each is told once
-                    new = True
-                    self.useless.append(told)
-                    logger.error("list: an entry that can't be used: {}: {}", type(fault).__name__, fault)
-        self.choice.listed(nodes, whole, self.now())
-        for node in self.choice.nodes.values():
-            self.nodes.listed(node.name, node.state == READY)
+        settling, self.settling = self.settling, True  # what ends by the news is decided by all of it
+        try:
+            for entry in entries:
+                try:
+                    nodes.append(self.entry(entry))
+                except (ValueError, TypeError, KeyError, AttributeError) as fault:  # guards the rest
+                    useless = True
+                    if (told := hash(repr(entry))) not in self.useless:  # each is told once
+                        new = True
+                        self.useless.append(told)
+                        logger.error("list: an entry that can't be used: {}: {}", type(fault).__name__, fault)
+            self.choice.listed(nodes, whole, self.now())
+            for node in self.choice.nodes.values():
+                self.nodes.listed(node.name, node.state == READY)
+        finally:
+            self.settling = settling
         self.nodes.keep(self.choice.nodes)
         self.settle()
         return not useless, new
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -20,7 +20,8 @@
 from .choice import Asking, Choice, Cold, Health, Hearsay, Links, Live, Order, Placement, Room, Shares
 from .model import DEDUPLICATED, NON_RETRYABLE, RETRYABLE, Method, Tenant
 
-SEMANTICS = {"pure": RETRYABLE, "token": DEDUPLICATED, "side_effect": NON_RETRYABLE}
+SEMANTICS = {"pure": RETRYABLE, "token": DEDUPLICATED, "side_effect": NON_RETRYABLE}  # the stricter the later
+GROUPS = ("all", "zone", "cell")  # likewise
 
 FALL_MULTIPLE = 4.0  # of its capacity that pushes a cold node over, where the rules state none
 
@@ -254,6 +255,7 @@
                 continue
             former.append(old)
             if fresh is not None:  # what was seen of it goes on
+                tighten(old, fresh)
                 fresh.times, fresh.took = old.times, old.took
                 for node in nodes:
                     if old in node.errors:
@@ -295,6 +297,14 @@
     return [getattr(one, name) for name in one.__slots__ if name not in ("times", "took")]
 
 
+def tighten(old: Method, fresh: Method) -> None:
+    """Reqs that are out under the old meaning go by the stricter of both: nodes may go by either by now."""
+    both = [one for one in (old, fresh) if one.semantics == DEDUPLICATED]
+    old.semantics = max(old.semantics, fresh.semantics, key=[*SEMANTICS.values()].index)
+    old.group = max((one.group for one in both), key=GROUPS.index, default=old.group)
+    old.window = min((one.window for one in both), default=old.window)
+
+
 def method(m: MethodSheet) -> Method:
     return Method(
         m.name,
--- /dev/null
+++ b/tests/test_once.py
@@ -0,0 +1,398 @@
+"""Work that may run only once: what must hold of each attempt when it goes out, not when it was decided."""
+
+from random import Random
+
+import pytest
+from helpers import S, choice, client, entries, hit, link, nodes, proxy, told
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
+
+from ivystack import choice as decisions
+from ivystack.choice import Choice
+from ivystack.model import (
+    DEDUPLICATED, DONE, ERRORED, FAIL, FULL, GO, MISSED, NACK, NON_RETRYABLE, OVERDUE, RECALLED, REFUSED,
+    RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, Method, Req, WriteOut,
+)  # fmt: skip
+from ivystack.net.front import Frame
+from ivystack.net.nodes import Sending
+from ivystack.net.resp import command
+
+BUSY = b"-BUSY\r\n"
+MS = 1000
+
+
+def once(group="all", window=300, semantics="token", budget=2000, **limits):
+    """A proxy with one class, whose repeats are dropped for so many milliseconds."""
+    stated = {
+        "name": "mark", "semantics": semantics, "latency_budget": budget * 10**6, "give_up": budget * 10**6,
+        "criticality": 1.0, "group": group, "window": window * 10**6,
+    }  # fmt: skip
+    return told(methods=[stated], connect_timeout=10**9, most_write_outs=4, **limits)
+
+
+def put(ident=b"1", wait=2000):
+    return command(b"OBJ.SET", b"7f", ident, b"c=mark,t=t,d=%d" % wait, b"v")
+
+
+def pass_by(made, milliseconds):
+    """So many milliseconds go by, one after the other."""
+    for _ in range(milliseconds):
+        made.reactor.advance(0.001)
+
+
+def written(made):
+    """What has been written to nodes, on any connection that has come up."""
+    return b"".join(one.transport.value() for one in made.nodes.links.values() if one.up)
+
+
+def lost(one):
+    one.connectionLost(Failure(ConnectionLost()))
+
+
+# The window and a connection that comes up late.
+
+
+def severed(made, after):
+    """The first attempt has gone out; so many milliseconds later it may have run, and its repeat waits."""
+    asking = client(made)
+    asking.dataReceived(put())
+    first = link(made)
+    assert b"mark" in written(made)
+    pass_by(made, after)
+    before = len(made.reactor.tcpClients)
+    lost(first)
+    pass_by(made, 1)
+    assert len(made.reactor.tcpClients) == before + 1  # the repeat waits for this one
+    return asking
+
+
+@pytest.mark.parametrize("streams", [1, 10])
+@pytest.mark.parametrize("group, answer", [("all", b"-BUSY"), ("zone", b"-ERR failed")])
+def test_a_repeat_whose_connection_comes_up_after_the_window_is_not_written(streams, group, answer):
+    made = proxy(3, run=once(group, streams_per_conn=streams))
+    asking = severed(made, 250)
+    pass_by(made, 49)  # 300 ms since the first was decided
+    link(made)
+    assert written(made) == b"" and asking.transport.took().startswith(answer)
+    assert not made.sendings and not made.reqs
+
+
+def test_a_repeat_whose_connection_comes_up_within_the_window_is_written():
+    made = proxy(3, run=once())
+    asking = severed(made, 250)
+    pass_by(made, 40)
+    other = link(made)
+    assert b"mark" in written(made)
+    other.dataReceived(hit(b"receipt"))
+    assert asking.transport.took() == b"$7\r\nreceipt\r\n"
+
+
+def test_a_link_that_comes_up_in_a_late_turn_carries_nothing_past_the_window():
+    # The reactor was busy: the link's coming up is told before the deadlines that have passed meanwhile.
+    made = proxy(3, run=once())
+    severed(made, 250)
+    made.reactor.rightNow += 0.2  # with no call made
+    late = link(made)
+    assert written(made) == b"" and late in made.nodes.resting  # it serves others
+
+
+def test_the_repeat_that_goes_out_first_makes_the_first_one_the_repeat():
+    # Second copies: the first attempt still waits for its connection when the second one goes out.
+    made = proxy(2, run=once(window=700, streams_per_conn=10, may_duplicate=True, budget=1000))
+    made.settings.methods["mark"].times.extend([100 * MS] * 8)  # so that a copy goes out at half of the time
+    asking = client(made)
+    asking.dataReceived(put(wait=1000))
+    pass_by(made, 490)
+    assert len(made.reactor.tcpClients) == 1
+    pass_by(made, 12)
+    second = link(made, 1)
+    assert b"mark" in second.transport.value()
+    pass_by(made, 210)
+    assert link(made, 0).transport.value() == b""
+    second.dataReceived(hit())
+    assert asking.transport.took() == b"$1\r\nv\r\n"
+
+
+def test_what_waits_for_a_process_that_has_gone_is_decided_anew():
+    made = proxy(1, run=once(semantics="side_effect"))
+    asking = client(made)
+    asking.dataReceived(put())
+    waits = next(iter(made.sendings))
+    made.listed(entries(1, startedAtMs=999_999), True)
+    assert waits.outcome == SUPERSEDED and len(made.sendings) == 1 and waits not in made.sendings
+    assert not asking.transport.value()
+
+
+# What a connection can prove of an attempt follows from what came on it.
+
+
+class Attempts:
+    """Attempts of one class at one node, made without the decisions, and how each ended."""
+
+    def __init__(self, semantics, **more):
+        self.made = proxy(1, run=once(streams_per_conn=10, may_duplicate=True, **more))
+        self.method, self.ends = Method("mark", semantics, 2 * S, window=S), []
+        self.made.nodes.ended = lambda sending, outcome, value: self.ends.append((sending.write_out, outcome))
+
+    def go(self, **more):
+        now, fields = self.made.now(), b"c=mark,d=500"
+        write_out = WriteOut(Req(self.method, now, now + 2 * S), None, now, now + 2 * S, **more)
+        frame = Frame([b"OBJ.GET", b"7f", b"1", fields], (9, 12))
+        self.made.nodes.send(Sending(write_out, frame), "n0", now + 2 * S)
+        return write_out
+
+    def said(self, wire, data):
+        before = len(self.ends)
+        wire.dataReceived(data)
+        return [outcome for _, outcome in self.ends[before:]]
+
+
+@pytest.mark.parametrize("semantics", [NON_RETRYABLE, DEDUPLICATED, RETRYABLE])
+@pytest.mark.parametrize("gap", [0, 8, 99, 101])
+@pytest.mark.parametrize("split", [False, True])
+def test_a_busy_so_soon_after_another_proves_nothing_of_what_crossed_it(semantics, gap, split):
+    # The node's second copy of its first -BUSY comes when the next attempt is out: that one runs.
+    of = Attempts(semantics)
+    of.go()
+    wire = link(of.made)
+    assert of.said(wire, BUSY) == [FULL]
+    pass_by(of.made, gap // 2)
+    of.go()
+    assert len(wire.out) == 1  # on the same connection
+    pass_by(of.made, gap - gap // 2)
+    said = of.said(wire, BUSY[:4]) + of.said(wire, BUSY[4:]) if split else of.said(wire, BUSY)
+    assert said == [FULL if semantics == RETRYABLE or gap > 100 else RECALLED]
+
+
+def test_of_several_on_a_connection_only_the_first_busy_proves():
+    of = Attempts(NON_RETRYABLE)
+    of.made.nodes.FEW = 1
+    of.go()
+    wire = link(of.made)
+    of.go()
+    of.go()
+    assert len(wire.out) == 3
+    assert of.said(wire, BUSY + BUSY + hit()) == [FULL, RECALLED, SATISFIED]
+
+
+def test_a_busy_for_one_that_was_given_up_makes_the_next_one_doubtful():
+    of = Attempts(NON_RETRYABLE)
+    of.made.nodes.FEW = 1
+    of.go()
+    wire = link(of.made)
+    of.go()
+    of.made.nodes.call_off(wire.out[0])
+    assert of.said(wire, BUSY + BUSY) == [RECALLED]
+
+
+def test_one_that_must_be_there_in_time_goes_behind_nothing():
+    # What holds back those before it, a long value or a node that reads no more, would hold it back too.
+    of = Attempts(DEDUPLICATED)
+    of.made.nodes.FEW = 1
+    of.go()
+    wire = link(of.made)
+    far, near = of.made.now() + 4 * S, of.made.now() + S
+    of.go(latest=far)
+    assert len(wire.out) == 2  # in so long a time it gets there, or is given up
+    last = of.go(latest=near)
+    assert len(wire.out) == 2 and [s.write_out for s in of.made.nodes.places["n0"].waiting] == [last]
+    pass_by(of.made, 1001)
+    assert of.ends[-1] == (last, SUPERSEDED)
+
+
+def test_no_value_and_miss_proves_nothing_where_nodes_read_through():
+    lacks = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
+    for aside, outcome in ((False, ERRORED), (True, MISSED)):
+        of = Attempts(NON_RETRYABLE)
+        of.made.nodes.aside = aside
+        of.go()
+        assert of.said(link(of.made), lacks) == [outcome]
+
+
+@pytest.mark.parametrize("answer, outcome", [
+    (hit(), SATISFIED), (b"-ERR failed\r\n", ERRORED), (BUSY, FULL), (b"-BUSY 40\r\n", FULL),
+    (b"+OK\r\n", ERRORED), (b":1\r\n", ERRORED), (b"$-1\r\n", ERRORED), (b"*-1\r\n", ERRORED),
+    (b"*0\r\n", ERRORED), (b"-BUSYING\r\n", ERRORED), (b"noise\r\n", ERRORED),
+])  # fmt: skip
+def test_each_row_of_the_protocols_table(answer, outcome):
+    # Only a -BUSY, and what never was written whole, proves that it never ran (PROTOCOL, the nodes' table).
+    of = Attempts(NON_RETRYABLE)
+    of.go()
+    assert of.said(link(of.made), answer) == [outcome]
+    assert (outcome in decisions.NEVER_RAN) is (answer.startswith(b"-BUSY") and answer != b"-BUSYING\r\n")
+
+
+def test_what_was_never_written_is_told_from_what_was():
+    for written_first in (False, True):
+        of = Attempts(NON_RETRYABLE)
+        out = of.go()
+        if written_first:
+            lost(link(of.made))
+        else:
+            pass_by(of.made, 1001)
+        (of_whom, outcome), = of.ends
+        assert of_whom is out and (outcome in decisions.NEVER_RAN) is not written_first
+
+
+# SIGHUP.
+
+
+@pytest.mark.parametrize("before, now, held", [
+    (("pure", "all", 0), ("side_effect", "all", 0), (NON_RETRYABLE, "all", 0)),
+    (("pure", "all", 0), ("token", "zone", 400), (DEDUPLICATED, "zone", 400 * MS)),
+    (("token", "all", 900), ("token", "cell", 400), (DEDUPLICATED, "cell", 400 * MS)),
+    (("token", "cell", 400), ("token", "all", 900), (DEDUPLICATED, "cell", 400 * MS)),
+    (("token", "all", 900), ("pure", "all", 0), (DEDUPLICATED, "all", 900 * MS)),
+    (("side_effect", "all", 0), ("pure", "all", 0), (NON_RETRYABLE, "all", 0)),
+])  # fmt: skip
+def test_of_two_meanings_the_stricter_holds_for_reqs_that_are_out_at_sighup(before, now, held):
+    made = proxy(3, run=once(before[1], before[2], before[0]))
+    asking = client(made)
+    asking.dataReceived(put())
+    (req,) = made.held
+    made.reload(once(now[1], now[2], now[0]))
+    assert (req.method.semantics, req.method.group, req.method.window) == held
+    asking.dataReceived(put(b"2"))
+    fresh = next(one for one in made.held if one is not req)
+    semantics = {"pure": RETRYABLE, "token": DEDUPLICATED, "side_effect": NON_RETRYABLE}[now[0]]
+    assert (fresh.method.semantics, fresh.method.window) == (semantics, now[2] * MS)
+
+
+# The module, with every order of endings, waits and late connections: what a strict node would have run.
+
+
+class Strict:
+    """Nodes that remember a repeat just as long as stated, and hold it against whoever sends it again."""
+
+    def __init__(self, semantics, group, window):
+        self.semantics, self.group, self.window = semantics, group, window
+        self.came: dict[Req, list] = {}  # what has reached a node whole, and may have run: when, and where
+        self.broken: list[str] = []
+
+    def reached(self, req, node, now):
+        before = self.came.setdefault(req, [])
+        if before and self.semantics == NON_RETRYABLE:
+            self.broken.append("a second attempt")
+        elif before and self.semantics == DEDUPLICATED:
+            if now - before[0][0] > self.window:
+                self.broken.append("past its window")
+            where = {"all": (), "zone": (node.zone,), "cell": (node.zone, node.cell)}[self.group]
+            if where and any(where != (zone, cell)[: len(where)] for _, zone, cell in before):
+                self.broken.append("outside its group")
+        before.append((now, node.zone, node.cell))
+
+    def turned_away(self, req, at):
+        self.came[req].remove(at)
+
+    def nacked(self, req):
+        bears = self.semantics == RETRYABLE or (self.semantics == DEDUPLICATED and self.group == "all")
+        if self.came.get(req) and not bears:
+            self.broken.append("nacked though it may have run")
+
+
+def played(seed, semantics, group, *, keeps=True, window=300 * MS, duplicate=True):
+    """So many reqs one after another, each with endings, waits and late connections drawn anew."""
+    rng, strict = Random(seed), Strict(semantics, group, window)
+    caches = nodes(6)
+    for place, node in enumerate(caches):
+        node.zone, node.cell = "ab"[place // 3], place // 2
+    made = choice(caches, most_write_outs=5, may_duplicate=duplicate, tick=MS)
+    method, now, going = Method("m", semantics, S, group=group, window=window), S, []
+    counts = {"again": 0}
+
+    def send(req, until):
+        write_out = req.write_outs[-1]
+        wait = rng.choice((0, 0, rng.randrange(600 * MS)))
+        going.append([now + wait, rng.random(), "up", write_out, until])
+        counts["again"] += len(req.write_outs) > 1
+
+    def carry(req, answer):
+        word, _, when = answer
+        if word == GO:
+            send(req, when)
+        elif word in (NACK, FAIL, DONE):
+            req.over = True
+            if word == NACK:
+                strict.nacked(req)
+
+    def ended(write_out, outcome):
+        answer, off = made.after(write_out, outcome, now)
+        for one in off:
+            going[:] = [event for event in going if event[3] is not one]
+            one.outcome or made.after(one, decisions.RECALLED, now)
+        if not write_out.req.over:
+            carry(write_out.req, answer)
+
+    for _ in range(40):
+        req = Req(method, now, now + 2 * S, rng.getrandbits(40))
+        carry(req, made.where(req, now))
+        while going or not req.over:
+            rest, due = made.wait(now)
+            for one in due:
+                if one is req:
+                    carry(one, made.where(one, now))
+            if due:
+                continue
+            going.sort(key=lambda event: event[:2])
+            looks = [] if rest is None else [now + rest]
+            at = min([event[0] for event in going[:1]] + looks, default=None)
+            if at is None:
+                assert req.over, "a req that nothing will end"
+                break
+            now = max(now, at)
+            if not going or going[0][0] > now:
+                continue
+            _, _, what, write_out, until = going.pop(0)
+            if write_out.outcome is not None:
+                continue
+            if what == "up":
+                if now >= until:
+                    ended(write_out, REFUSED)
+                elif keeps and now >= write_out.latest:
+                    ended(write_out, SUPERSEDED)
+                else:
+                    strict.reached(write_out.req, write_out.node, now)
+                    outcome = rng.choice((SATISFIED, ERRORED, FULL, OVERDUE, SEVERED, SEVERED, SEVERED))
+                    left = until - now
+                    took = left if outcome == OVERDUE else rng.randrange(min(400 * MS, left) + 1)
+                    if outcome == FULL:
+                        strict.turned_away(write_out.req, (now, write_out.node.zone, write_out.node.cell))
+                    going.append([now + took, rng.random(), outcome, write_out, until])
+            else:
+                ended(write_out, what)
+        now += rng.randrange(S)
+    return strict.broken, counts["again"]
+
+
+GROUPS = ["all", "zone", "cell"]
+KINDS = [(RETRYABLE, "all"), (NON_RETRYABLE, "all"), *((DEDUPLICATED, group) for group in GROUPS)]
+
+
+@pytest.mark.parametrize("semantics, group", KINDS)
+@pytest.mark.parametrize("duplicate", [True, False])
+def test_no_order_of_events_runs_an_effect_twice(semantics, group, duplicate):
+    again = 0
+    for seed in range(30):
+        broken, more = played(seed, semantics, group, duplicate=duplicate)
+        assert not broken, (seed, broken)
+        again += more
+    assert again > 30  # else nothing was shown
+
+
+@pytest.mark.parametrize("group", GROUPS)
+def test_the_check_finds_a_window_that_is_not_kept(group):
+    found = (played(seed, DEDUPLICATED, group, keeps=False)[0] for seed in range(60))
+    assert any("past its window" in broken for broken in found)
+
+
+def test_the_check_finds_a_group_that_is_not_kept(monkeypatch):
+    monkeypatch.setattr(Choice, "within_group", lambda *_: True)
+    assert any("outside its group" in played(seed, DEDUPLICATED, "zone")[0] for seed in range(30))
+
+
+@pytest.mark.parametrize("taken_for_proof, found", [
+    (ERRORED, "a second attempt"), (SEVERED, "a second attempt"), (OVERDUE, "nacked though it may have run"),
+])  # fmt: skip
+def test_the_check_finds_an_ending_that_is_taken_for_proof(monkeypatch, taken_for_proof, found):
+    monkeypatch.setattr(decisions, "NEVER_RAN", decisions.NEVER_RAN | {taken_for_proof})
+    assert any(found in played(seed, NON_RETRYABLE, "all")[0] for seed in range(30))
