Lists asked for: the next call comes so soon that news is told 6 s after it could be had

Cause, by adding up: where lists are asked for, the pause after failed calls doubled to 6 s and is drawn up to half as long again, and a call that nobody answers is given up after 5 s. A service that can be reached again just after a call began is asked 14 s later at worst; a watch that falls silent is opened anew 5 s + 2.25 s later. The term is 6 s, whatever became of our calls. Pushed lists keep it: 5 s + 0.3 s.

Discovery.TOLD: the next call begins at the latest 5.5 s after we last heard anything or began a call; Asking draws its pause as wide as that leaves, so refused calls of a fleet stay 0.7 s to 5.5 s apart.

tests/test_told.py drives the clock: eight kinds of failure and pairs of them, each moment of the return by 0.7 s, both modes, graces of 250 ms and 1 s.

--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -583,6 +583,8 @@
     Guards a service of fixed capacity against a whole fleet's calls at once, of which most would fail, and a
     proxy against being held to news that it never asked for."""
 
+    SOON = 20_000  # the least pause: a call that fails at once is not made in a loop
+
     def __init__(self, rng: Random, least: int, most: int):
         self.rng, self.least, self.most = rng, least, most
         self.failures = 0
@@ -594,10 +596,13 @@
         self.next_at = None if due else self.next_at
         return due
 
-    def failed(self, now: int) -> int:
-        """Of a call, or a watch that broke: when to call next, later each time and spread by chance."""
+    def failed(self, now: int, by: int | None = None) -> int:
+        """Of a call, or a watch that broke: when to call next, later each time and spread by chance; where
+        `by` is given not after it, with as wide a spread as that leaves."""
         self.failures += 1
         pause = min(self.least << min(self.failures, 8), self.most)
+        if by is not None:
+            pause = max(self.SOON, min(pause, 2 * (by - now) // 3))
         self.next_at = now + pause // 2 + self.rng.randrange(pause)
         return self.next_at
 
--- a/ivystack/net/discovery.py
+++ b/ivystack/net/discovery.py
@@ -40,6 +40,9 @@
 
 class Discovery:
     SILENT = 5_000_000  # two of its empty lines missed, and some
+    # A change counts as told 6 s after discovery had it and could be reached, whatever came of our calls: it
+    # may have been so from when we last heard anything, or called in vain.  Half a second is for the answer.
+    TOLD = 5_500_000
 
     def __init__(self, reactor, deadlines, now, asking: Asking, address, told):
         self.agent = Agent(reactor, connectTimeout=2)
@@ -49,6 +52,7 @@
         self.lacking = False  # some entry could not be used: only a whole list shows that all is known
         self.body: Lines | None = None
         self.call = None
+        self.since = now()  # when something was heard last, or a call begun
         self.silence: list | None = None
         self.next: list | None = None  # the deadline of the next call
         self.stopped = False
@@ -83,7 +87,8 @@
 
     def heard(self) -> None:
         self.deadlines.drop(self.silence)
-        self.silence = self.deadlines.at(self.now() + self.SILENT, self.silent)
+        self.since = self.now()
+        self.silence = self.deadlines.at(self.since + self.SILENT, self.silent)
 
     def silent(self) -> None:
         """Guards against a machine that vanished: its connection stays open and says nothing."""
@@ -120,7 +125,7 @@
             body.transport.loseConnection()
         logger.info("end discovery generation={} code={}", self.generation, code)
         if not self.stopped:
-            self.next = self.deadlines.at(self.asking.failed(self.now()), self.watch)
+            self.next = self.deadlines.at(self.asking.failed(self.now(), self.since + self.TOLD), self.watch)
 
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is elsewhere from now on.  Its versions go on, so what is known stays known."""
