Of a client that has left nothing more is taken or sent on, also what is due in that turn; cold sums counted

Two ways in which an attempt could begin after its client had closed, both found by reading and forced: - a client that does not take its answers, is owed known ones alone and ends: Front.left passed it over, and what it had sent behind was read and sent on once it could be written to again. It is read no more now. - Front.lost told of its reqs one by one, and each telling settled what is due: later reqs of the same client were sent on in that turn, to be called off at once. All are closed first. Both tests fail without the mends. Ruled out (sound, tests stand): attempts that wait for a connection, ends while not read, bursts.

--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -428,9 +428,12 @@
 
     def left(self, client: Client) -> None:
         """It has ended while it is not read.  One that waits for nothing more may still take what is on its
-        way to it."""
+        way to it; what it has sent behind that is nobody's any more."""
         if any(place[0] is None for place in client.owed):
-            client.drop("client-left")
+            return client.drop("client-left")
+        client.code = client.code or "client-left"
+        client.deafen()
+        client.flush()
 
     def lost(self, client: Client, code: str) -> None:
         client.upload = None
@@ -438,16 +441,15 @@
         self.fresh.pop(client, None)
         self.clients.drop(client.slot)
         owed = [place for place in client.owed if place[0] is None]
+        for place in owed:
+            self.bytes -= place[2]
+            self.ids.discard(place[3])
         relays = [place[0] for place in client.owed if isinstance(place[0], Relay)]
         logger.info("end client={} asked={} open={} code={}", client.slot, client.asked, len(owed), code)
         client.owed.clear()
-        for relay in relays:
+        self.gone([place[1] for place in owed if place[1] is not None])
+        for relay in relays:  # last: what lies behind a long answer may end one of those reqs
             relay.left()
-        for place in owed:
-            if place[0] is None:  # telling of one may have ended another
-                self.bytes -= place[2]
-                self.ids.discard(place[3])
-                self.gone(place[1])
 
     # Sending clients away: for the operators, at the end, and in an upgrade; callers differ in how it ends.
 
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -302,11 +302,13 @@
         self.answer(upload.req, FAIL)
         self.call_off([w for w in upload.req.write_outs if w.outcome is None])
 
-    def gone(self, slot: int) -> None:
-        held = self.reqs[slot]
-        req = held.req
-        self.close(held)
-        if req.write_outs:
+    def gone(self, slots: list[int]) -> None:
+        """A client has left, and these were its reqs.  All are closed first: calling one's write-outs off
+        settles what is due, and nothing of the others may be sent on by then."""
+        left = [self.reqs[slot] for slot in slots]
+        for held in left:
+            self.close(held)
+        for req in (held.req for held in left if held.req.write_outs):
             try:
                 off = self.choice.after(req.write_outs[-1], CLIENT_GONE, self.now())[1]
             except Exception:
--- a/ivystack/rig/swarm.py
+++ b/ivystack/rig/swarm.py
@@ -14,7 +14,7 @@
 
 import heapq
 from bisect import bisect
-from collections import Counter, OrderedDict
+from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import accumulate
@@ -83,6 +83,8 @@
     fetches: int = 60  # that it does at a time
     cold: int = 6 * S  # until a node is warm
     cold_share: float = 0.3
+    overload: float = 4.0  # times what it can do by then pushes a cold node over,
+    fall: int = S  # over such a time
     table: int = 1 << 30  # connections that a node holds: beyond, new ones are turned away
     write_outs: int = 3
     peers: bool = True
@@ -90,6 +92,7 @@
     tenants: dict[str, float] = field(default_factory=dict)  # and what each is allowed, a second
     excess: float = 0.1
     chance: Random = field(default_factory=lambda: Random(3))
+    mean: float = 1.0  # work of a req, in microseconds of a core; the swarm's to say
 
 
 class Server:
@@ -102,6 +105,8 @@
         self.held: set[Proxy] = set()  # whose connections it has
         self.hung = self.gone = False
         self.slow = 1.0
+        self.came: deque[tuple[int, float]] = deque()  # while it is cold: when, and the work
+        self.pushed = 0.0  # the most of its bound that came within the time of a fall
 
     def warmth(self, now: int) -> float:
         if not self.started:
@@ -109,6 +114,18 @@
         least = self.world.cold_share
         return min(1.0, least + (1 - least) * (now - self.started) / self.world.cold)
 
+    def takes(self, work: float, now: int) -> None:
+        """Counts towards its fall, also what it turns away.  N reqs of mean work are its budget, and beyond
+        that 2 x root of N + 2 are chance."""
+        if self.warmth(now) == 1 or not self.started:
+            return
+        self.came.append((now, work))
+        while self.came[0][0] <= now - self.world.fall:
+            self.came.popleft()
+        budget = self.world.overload * self.world.cores * self.warmth(now) * self.world.fall / self.world.mean
+        sent = sum(work for _, work in self.came) / self.world.mean
+        self.pushed = max(self.pushed, sent / (budget + 2 * budget**0.5 + 2))
+
     def has(self, key: int) -> bool:
         if key not in self.keeps and not self.started and self.world.chance.random() < self.world.hits:
             self.keep(key)
@@ -178,6 +195,7 @@
 
     def __init__(self, rng: Random, loads: list[Load], world: World):
         self.rng, self.loads, self.world = rng, loads, world
+        world.mean = work(loads) * S
         self.now, self.count = 1_000 * S, 0
         self.begun = self.now
         self.due: list[tuple[int, int, Callable]] = []
@@ -208,7 +226,9 @@
             "methods": [load.sheet() for load in self.loads], "limits": limits, "n_instances": world.proxies,
             "parties": [{"name": n, "allowance_per_s": a} for n, a in world.tenants.items()],
             "excess_criticality": world.excess, "slot_no": number, "granularity": 5_000_000,
-            "rules": {"cold": world.cold * 1000, "cold_share": world.cold_share, "overload_factor": 4},
+            "rules": {
+                "cold": world.cold * 1000, "cold_share": world.cold_share, "overload_factor": world.overload,
+            },
         }  # fmt: skip
 
     def list(self) -> list[Node]:
@@ -335,6 +355,7 @@
             return self.at(self.now + self.world.way, self.after, proxy, write_out, MISSED)
         asked = proxy.asked.get(write_out.req)
         work = (asked.load.work if asked else self.loads[0].work) * self.rng.gammavariate(3, 1 / 3)
+        server.takes(work, self.now)
         done = server.done_at(work, write_out.req.key, self.now, self.origin)
         self.at(done + self.world.way, self.after, proxy, write_out, SATISFIED)
 
@@ -394,6 +415,10 @@
 
     # What came of it.
 
+    def pushed(self) -> float:
+        """The most, over all cold nodes, of what may come to one before it falls."""
+        return max((server.pushed for server in self.servers.values()), default=0.0)
+
     def served(self, first: int = 0, last: int = 1 << 30) -> dict[str, float]:
         """By class: the part satisfied in time of what was asked for in these seconds."""
         found = {}
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -10,9 +10,11 @@
 
 import pytest
 from conftest import METHODS
-from helpers import hit, told
+from helpers import client, hit, proxy, told
 from moments import Agent, Moment, Node, gets
 from test_main import free_port
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
 
 from ivystack.model import LEAVING
 from ivystack.net.front import Client
@@ -100,6 +102,34 @@
     assert asking.take() == b"v"
 
 
+def test_what_a_client_sent_behind_its_last_answer_is_not_taken_once_it_has_left(moment):
+    # All that it is owed is known but not taken yet; 8 more commands lie unread, and its end behind them.
+    made = moment()
+    asking = made.client()
+    made.until(lambda: made.proxy.front.clients)
+    (ours,) = clients(made)
+    made.turn(ours.pauseProducing)  # the transport's call: the client takes no more for now
+    asking.send(gets(8))
+    asking.socket.shutdown(socket.SHUT_WR)
+    made.until(lambda: ours.deaf)
+    made.until(lambda: not made.proxy.front.clients)
+    assert made.turn(lambda: ours.asked) == 0 and ours.code == "client-left"
+
+
+def test_reqs_of_one_client_that_are_due_in_the_turn_of_its_end_are_not_sent_on():
+    # Ending the first one's attempt settles what is due, and the second one is due just then.
+    made = proxy(3)
+    asking = client(made)
+    asking.dataReceived(gets(2))
+    first, second = made.held
+    seen, where = [], made.choice.where
+    made.choice.where = lambda req, now: seen.append((req, req.over)) or where(req, now)
+    made.choice.further.append(second)
+    asking.connectionLost(Failure(ConnectionDone()))
+    assert first.over and second.over and not made.reqs and not made.sendings
+    assert all(over for _, over in seen)
+
+
 def test_a_client_that_leaves_while_its_connection_to_a_node_does_not_come_up(moment):
     # It comes up after the client has left: nothing is written to it.
     node = Node("n0")
