The start and SIGHUP tell a window that hardly lets anything be repeated, in one line with its key

A deduplicated class whose window ends before a repeat may go out, or no later than a connection may take to come up: the program goes on, since the operators may mean it (work that may run only once).

--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -16,7 +16,7 @@
 from ..model import (  # fmt: skip
     CLIENT_GONE, DONE, FAIL, GO, LEAVING, LEFT, NACK, READY, SATISFIED, WAIT, Node, Req, WriteOut, figures,
 )
-from ..settings import Run, address
+from ..settings import Run, address, doubtful
 from .admin import Admin
 from .discovery import Discovery
 from .front import Frame, Front
@@ -87,7 +87,12 @@
 
     # Start and end.
 
+    def warn(self, run: Run) -> None:
+        for line in doubtful(run):
+            logger.warning("configuration: {}", line)
+
     def start(self) -> None:
+        self.warn(self.run)
         if self.run.known:
             try:
                 self.discovery.known(self.run.known)
@@ -182,6 +187,7 @@
         start.  It has been checked whole: nothing here can be refused half-way."""
         for key in self.run.differs(run):
             logger.warning("configuration: a new `{}` counts from the next start on", key)
+        self.warn(run)
         former = self.settings.take(run.settings)
         run.settings, self.run = self.settings, run
         self.front.knows(self.settings.methods, self.settings.tenants)
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -409,6 +409,20 @@
             raise FaultError(f"`{key}.latency_budget`: missing, and `give_up` is too")
 
 
+def doubtful(run: Run) -> list[str]:
+    """What can be meant but mostly is not, a line each with its key: the program goes on."""
+    found, settings = [], run.settings
+    for place, one in enumerate(settings.methods.values()):
+        key = f"settings.methods[{place}].window"
+        if one.semantics != DEDUPLICATED:
+            continue
+        if one.window <= settings.choice.MARGIN * settings.choice.tick:
+            found.append(f"`{key}`: {one.window} us; no write-out of {one.name} is ever repeated")
+        elif one.window <= run.connect_timeout:
+            found.append(f"`{key}`: {one.window} us, no longer than `settings.limits.connect_timeout`")
+    return found
+
+
 def load(environ: Mapping[str, str], running: Run | None = None) -> Run:
     """What the environment says: the file that LB_CONFIG names, the other variables going before it.
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ivystack.model import Errors, Node
-from ivystack.settings import FaultError, Settings, load
+from ivystack.settings import Config, FaultError, Run, Settings, checked, doubtful, load
 
 GOOD = {"listen": "127.0.0.1:6379", "discovery": "127.0.0.1:8500", "seed": "0f", "settings": {}, "new": 1}
 
@@ -157,3 +157,16 @@
     for key, value in (("tail_part", -1), ("miss_share", 1.5), ("miss_share", "2%")):
         with pytest.raises(FaultError, match=f"blend.{key}"):
             Settings(1, {"blend": {key: value}})
+
+
+@pytest.mark.parametrize("window, connect, words", [
+    (0, 100, "no write-out of m is ever repeated"), (10, 100, "no write-out of m is ever repeated"),
+    (100, 100, "no longer than `settings.limits.connect_timeout`"), (101, 100, None),
+])  # fmt: skip
+def test_a_window_that_hardly_lets_anything_be_repeated_is_told_with_its_key(window, connect, words):
+    one = CLASS | {"name": "m", "semantics": "token", "window": window * 10**6}
+    sheet = {"methods": [one], "limits": {"connect_timeout": connect * 10**6}, "granularity": 5 * 10**6}
+    run = Run(checked({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": sheet}, Config))
+    lines = doubtful(run)
+    assert len(lines) == (words is not None)
+    assert all(words in line and line.startswith("`settings.methods[0].window`") for line in lines)
