The rig: repeats past a stated window and attempts begun 0.1 s after a client has left are breaches

Two checks (`check.in_its_window`, `check.begun_for_nobody`), each with planted breaches, held against what a link's fault may have kept on its way. `load.window` states a shorter window to the proxies while the origin goes on dropping repeats for 10 s, so a repeat past it is found by when it came, not by the order in which slow writes end.

test_reqs_that_are_sent_on_..: its three reqs sent on after 300 ms are breaches of the newer term, so it asks for the statement that it is about; what it demands of that one is unchanged.

--- a/ivystack/rig/check.py
+++ b/ivystack/rig/check.py
@@ -7,17 +7,18 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from math import inf
 
 from ..load.clients import NACKED, SERVED, Class, Try
-from ..standin.ledger import SERVING, Ledger
+from ..standin.ledger import SERVING, Ledger, Taken
 from .linear import Op, linearizable
 
 GRACE = 1_000_000  # after it was told, nothing new goes to a node that drains or is gone
 WINDOW = 1_000_000  # over which a cold node's reqs are counted
 GONE, FEW = 300_000, 0.25  # so long after its client has left a req is not sent on; the part that may be
+BEGUN, CHANCE = 100_000, 2  # no attempt, first or further, begins later after that; so many may
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +50,7 @@
     grace: int = GRACE
     cold: float | None = None
     end: int | None = None  # tries that are due later are not judged
+    windows: dict[str, int] = field(default_factory=dict)  # of deduplicated classes
 
 
 def rules(tries: list[Try], ledger: Ledger, excuses: list[Excuse], terms: Terms) -> list[Breach]:
@@ -56,9 +58,11 @@
     found = [
         *one_answer(tries, ledger, excuses, terms),
         *one_effect(tries, ledger, terms),
+        *in_its_window(ledger, excuses, terms),
         *nothing_new(ledger, excuses, terms),
         *cold_nodes(ledger, terms),
         *for_nobody(tries, ledger, terms),
+        *begun_for_nobody(tries, ledger, excuses, terms),
     ]
     return sorted(found, key=lambda breach: breach.at)
 
@@ -132,6 +136,29 @@
     return found
 
 
+def in_its_window(ledger: Ledger, excuses: list[Excuse], terms: Terms) -> list[Breach]:
+    """Rule 2, as a node sees it that drops repeats just as long as stated: what may have run comes again
+    within the window of the first that may have."""
+    found, first = [], {}
+    for taken in sorted(ledger.taken, key=lambda one: one.at):
+        window = terms.windows.get(taken.method)
+        if window is None or taken.busy:
+            continue
+        before = first.setdefault(taken.ident, taken.at)
+        if taken.at > before + window + terms.late and not held_up(excuses, taken, before):
+            text = f"sent to {taken.node} {(taken.at - before) // 1000} ms after the first"
+            found.append(Breach("no effect twice", taken.at, taken.ident.decode(), text))
+    return found
+
+
+def held_up(excuses: list[Excuse], taken: Taken, frm: int) -> bool:
+    """A fault of the link may have kept it on its way: when it went out is not known."""
+    return any(
+        one.node in (None, taken.node) and one.proxy in (None, taken.proxy)
+        and one.frm <= taken.at and frm <= one.to for one in excuses
+    )  # fmt: skip
+
+
 def nothing_new(ledger: Ledger, excuses: list[Excuse], terms: Terms) -> list[Breach]:
     """Rule 3: nothing new to a node that drains or is gone, after the grace."""
     found, states = [], defaultdict(list)
@@ -195,6 +222,25 @@
     return [Breach("nothing is sent on for nobody", when, one.ident.decode(), text)]
 
 
+def begun_for_nobody(
+    tries: list[Try], ledger: Ledger, excuses: list[Excuse], terms: Terms
+) -> list[Breach]:
+    """No attempt begins once the client has gone, but for what crosses its end; the third is a breach."""
+    taken, late = defaultdict(list), []
+    for one in ledger.taken:
+        taken[one.proxy, one.ident].append(one)
+    for one in tries:
+        for went in taken[one.proxy, one.ident] if one.left is not None else ():
+            if went.at > one.left + BEGUN + terms.late and not held_up(excuses, went, one.left):
+                late.append((went.at, one))
+    if len(late) <= CHANCE:
+        return []
+    when, one = sorted(late, key=lambda found: found[0])[CHANCE]
+    text = f"{len(late)} attempts begun for nobody; {one.proxy} began this one"
+    text += f" {(when - one.left) // 1000} ms after its client had left"
+    return [Breach("nothing is begun for nobody", when, one.ident.decode(), text)]
+
+
 # --- The agreed state ---
 
 
--- a/ivystack/rig/play.py
+++ b/ivystack/rig/play.py
@@ -28,7 +28,7 @@
 from .faults import Faults
 from .logs import logged
 from .processes import Process
-from .record import CLASSES, MULTIPLE, SHARE, US, WINDOW, Record
+from .record import CLASSES, MULTIPLE, SHARE, US, WINDOW, Record, window
 from .relay import Hub
 from .scenario import Scenario, names
 from .verdict import judged
@@ -48,7 +48,7 @@
         {
             "name": one.name, "semantics": semantics[one.name], "latency_budget": one.budget * ns,
             "give_up": one.wait * ns, "criticality": scenario.load.worth.get(one.name, 1.0),
-            "tardy_criticality": 0.3, "group": "all", "window": WINDOW * ns,
+            "tardy_criticality": 0.3, "group": "all", "window": window(scenario) * ns,
         }
         for one in CLASSES
     ]  # fmt: skip
--- a/ivystack/rig/record.py
+++ b/ivystack/rig/record.py
@@ -14,7 +14,7 @@
 from .scenario import Scenario
 
 US = 1_000_000
-WINDOW = 10 * US  # of the deduplicated class
+WINDOW = 10 * US  # of the deduplicated class: the origin's, and what is stated where a scenario says no less
 MULTIPLE = 4.0  # of what a cold node bears
 SHARE = 0.3  # of a warm node's, what a cold one bears
 
@@ -25,6 +25,11 @@
 ]
 
 
+def window(scenario: Scenario) -> int:
+    """How long the proxies are told that repeats are dropped, in microseconds."""
+    return int(scenario.load.window * US) if scenario.load.window else WINDOW
+
+
 @dataclass
 class Mark:
     """A fault as it was: for the account and the plot."""
--- a/ivystack/rig/scenario.py
+++ b/ivystack/rig/scenario.py
@@ -59,6 +59,7 @@
     read: Part = 0.8
     put: Part = 0.1  # deduplicated writes, with a mark
     pay: Part = 0.1  # non-retryable ones
+    window: Annotated[float, Meta(ge=0, le=10)] = 0.0  # seconds that repeats of `put` are dropped; 0: 10
     worth: dict[Literal["read", "put", "pay"], Positive] = {}  # their criticality, 1 where it is not said
 
 
--- a/ivystack/rig/verdict.py
+++ b/ivystack/rig/verdict.py
@@ -11,7 +11,7 @@
 
 from ..load.clients import in_time
 from .check import Breach, Terms, agreed, duties, overlapping, rules
-from .record import CLASSES, MULTIPLE, SHARE, US, Record
+from .record import CLASSES, MULTIPLE, SHARE, US, Record, window
 
 LATE = 50_000  # microseconds: each limit is that much longer, as for the proxies in service
 
@@ -22,7 +22,8 @@
     slack = int(hold.slack_ms * 1000) + record.lag + record.load_lag
     bears = scenario.fleet.cores / scenario.fleet.service * SHARE * MULTIPLE
     classes = {one.name: one for one in CLASSES}
-    terms = Terms(classes, slack, LATE + record.lag, cold=bears, end=record.end)
+    windows = {one.name: window(scenario) for one in CLASSES if one.marked and one.repeats}
+    terms = Terms(classes, slack, LATE + record.lag, cold=bears, end=record.end, windows=windows)
     found = rules(record.tries, record.ledger, record.excuses, terms) if hold.rules else []
     found += duties(record.acts) + overlapping(record.held, stops(record)) + agreed(record.agreed)
     if not hold.crashes:
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -73,14 +73,41 @@
 
 def test_reqs_that_are_sent_on_after_their_client_has_left_are_found():
     # Counted against all that waited: one that a node had before is none of them.
+    # What begins over 0.1 s after is a statement of its own, below.
     gone = [one(answers=(), ident=b"%d" % n, left=1000) for n in range(8)]
+
+    def of_first(taken):
+        return [found for found in broken(gone, taken=taken) if found[0] == "nothing is sent on for nobody"]
+
     late = [taken(400_000, ident=b"%d" % n) for n in range(3)]
     soon = [taken(300_000, ident=b"%d" % n) for n in range(3, 6)]
-    assert broken(gone, taken=soon) == [] == broken(gone, taken=soon + late[:2])
-    assert broken(gone, taken=soon + late) == [("nothing is sent on for nobody", 400_000)]
+    assert of_first(soon) == [] == of_first(soon + late[:2])
+    assert of_first(soon + late) == [("nothing is sent on for nobody", 400_000)]
     had = [taken(900, ident=b"%d" % n) for n in range(4, 8)]
-    assert broken(gone, taken=had + late[:1]) == []
-    assert broken(gone, taken=had + late[:2]) == [("nothing is sent on for nobody", 400_000)]
+    assert of_first(had + late[:1]) == []
+    assert of_first(had + late[:2]) == [("nothing is sent on for nobody", 400_000)]
+
+
+def test_attempts_begun_after_their_client_has_left_are_found_from_the_third_on():
+    gone = [one(answers=(), ident=b"%d" % n, left=1000) for n in range(30)]
+    had = [taken(900, ident=b"%d" % n) for n in range(30)]  # all had a first one
+    late = [taken(112_000 + n, "n1", ident=b"%d" % n) for n in range(3)]
+    crossed = [taken(111_000, "n1", ident=b"%d" % n) for n in range(5, 12)]
+    found = [("nothing is begun for nobody", 112_002)]
+    assert broken(gone, taken=had + crossed + late[:2]) == []
+    assert broken(gone, taken=had + late) == found
+    assert broken(gone, [Excuse(0, 200_000, "p0", "n1")], taken=had + late) == []
+    assert broken(gone, [Excuse(0, 200_000, "p0", "n2")], taken=had + late) == found
+
+
+def test_a_repeat_that_comes_past_its_window_is_found_though_the_origin_drops_it():
+    terms = Terms({"pay": Class("pay", write=True, marked=True)}, 100_000, 10_000, windows={"pay": 300_000})
+    good = [taken(0), taken(310_000, "n1")]
+    assert broken([one("pay")], terms=terms, taken=good) == []
+    late = [taken(0), taken(200_000, "n1"), taken(310_001, "n2")]
+    assert broken([one("pay")], terms=terms, taken=late) == [("no effect twice", 310_001)]
+    assert broken([one("pay")], terms=terms, taken=[taken(0, busy=True), *late[2:]]) == []
+    assert broken([one("pay")], [Excuse(0, 1, "p0", "n2")], terms, taken=late) == []
 
 
 def test_a_req_that_crossed_an_end_was_not_accepted_unless_a_node_has_had_it():
