--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -221,6 +221,10 @@
     def cut(self, relay: Relay) -> None:
         """It will never be whole: where some of it has gone out, the end of the connection says so."""
         if relay.started:
+            # Guards what is owed behind it against being sent on for nobody: its answers can't go out any
+            # more, and its client sends it once more elsewhere.
+            self.deafen()
+            self.front.let_go(self)
             return self.leave("cut-short")
         next(place for place in self.owed if place[0] is relay)[0] = FAILED
         self.flush()
@@ -440,12 +444,17 @@
         self.idle.pop(client, None)
         self.fresh.pop(client, None)
         self.clients.drop(client.slot)
+        still = sum(place[0] is None for place in client.owed)
+        logger.info("end client={} asked={} open={} code={}", client.slot, client.asked, still, code)
+        self.let_go(client)
+
+    def let_go(self, client: Client) -> None:
+        """Nothing that it is owed can reach it any more."""
         owed = [place for place in client.owed if place[0] is None]
         for place in owed:
             self.bytes -= place[2]
             self.ids.discard(place[3])
         relays = [place[0] for place in client.owed if isinstance(place[0], Relay)]
-        logger.info("end client={} asked={} open={} code={}", client.slot, client.asked, len(owed), code)
         client.owed.clear()
         self.gone([place[1] for place in owed if place[1] is not None])
         for relay in relays:  # last: what lies behind a long answer may end one of those reqs
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -148,6 +148,25 @@
         assert not made.reqs and not made.sendings
 
 
+def test_what_is_owed_behind_one_that_is_cut_short_is_not_sent_on():
+    # Its client can't be answered any more and sends it once more elsewhere: here it must not run after that.
+    made = proxy(2)
+    asking = client(made)
+    asking.dataReceived(get())
+    node = link(made)
+    node.dataReceived(HEAD + LONG[:9000])
+    asking.dataReceived(get(b"2", b"80") + get(b"3", b"81"))  # their connections do not come up
+    assert len(made.reqs) == 2 and len(made.reactor.tcpClients) > 1
+    node.connectionLost(Failure(ConnectionLost()))
+    assert asking.transport.disconnecting and asking.code == "cut-short"
+    assert not made.reqs and not made.sendings and not made.front.ids
+    for number in range(1, len(made.reactor.tcpClients)):
+        assert link(made, number).transport.value() == b""
+    assert not asking.owed and made.front.bytes == 0
+    asking.connectionLost(Failure(ConnectionDone()))
+    assert not made.front.clients
+
+
 def test_a_node_that_stalls_in_the_middle_is_given_up_in_the_end():
     made, asking, node = asked()
     node.dataReceived(HEAD + LONG[:1000])
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -5,7 +5,7 @@
 import pytest
 from helpers import S, choice, client, get, nodes, proxy, req, told
 
-from ivystack.choice import Links, Shares
+from ivystack.choice import Cold, Links, Shares
 from ivystack.model import FULL, GO, SATISFIED, Req, Tenant
 from ivystack.rig.swarm import FAULTS, MIX, Load, Swarm, World, work
 from ivystack.settings import FaultError, Settings
@@ -195,3 +195,23 @@
         asks = client(made)
         asks.dataReceived(get(fields=b"c=other,t=t,d=500"))
         assert asks.transport.took().startswith(b"-ERR") and not made.reqs and made.ready()
+
+
+@pytest.mark.parametrize("overload, fall", [(4.0, S), (2.0, 3 * S // 2)])
+def test_cold_nodes_get_no_more_of_thirty_proxies_than_chance_allows(overload, fall):
+    # Simulated: a third of the nodes replaced at once, a burst, clients that come again.
+    world = World(nodes=12, proxies=30, reqs_per_s=12 * 3 / work(MIX) * 1.2, overload=overload, fall=fall)
+    swarm = Swarm(Random(3), MIX, world)
+    swarm.at(swarm.now + S, swarm.replace, sorted(swarm.servers)[::3])
+    swarm.play(4 * S)
+    assert 0.1 < swarm.pushed() <= 1
+
+
+def test_the_count_of_a_cold_nodes_reqs_finds_one_that_is_sent_all(monkeypatch):
+    monkeypatch.setattr(Cold, "warmth", lambda *_: 1.0)
+    loads = [Load("only", 1.0, 60_000, 1, 750_000)]
+    world = World(nodes=6, proxies=30, reqs_per_s=6 * 3 / work(loads), overload=1.2, cold_share=0.2)
+    swarm = Swarm(Random(3), loads, world)
+    swarm.at(swarm.now + S, swarm.replace, ["n0000"])
+    swarm.play(4 * S)
+    assert swarm.pushed() > 1
