--- a/benchmarks/thousand.py
+++ b/benchmarks/thousand.py
@@ -52,7 +52,7 @@
             now = made.now() + turn
             req = Req(method, now, now + 10**6, rng.getrandbits(60))
             made.choice.where(req, now)
-            made.choice.after(req.write_outs[0], "satisfied", now + 5)
+            made.choice.after(req.attempts[0], "satisfied", now + 5)
 
         print("  a choice, new key ", timed(choose, 400))
         slots = made.choice.placement.slots
--- a/ivystack/choice.py
+++ b/ivystack/choice.py
@@ -3,7 +3,7 @@
 Three calls, on one Choice an instance:
     where(req, now)                 -> (GO, node, until), (WAIT, None, 0), (NACK, None, come_back_in)
                                        or (FAIL, None, 0)
-    after(write_out, outcome, now)  -> the same for its req (or DONE), and a list of write-outs to call off
+    after(attempt, outcome, now)  -> the same for its req (or DONE), and a list of attempts to call off
     wait(now)                       -> microseconds until the next thing is due (None: nothing is), and the
                                        reqs due now, in order, for each of which `where` is to be asked
 `listed(nodes, whole, now)` and `told(words, now)` tell news of the list and of peers and answer nothing.
@@ -22,7 +22,7 @@
 from .model import (  # fmt: skip
     CLIENT_GONE, DEDUPLICATED, DONE, ERRORED, FAIL, FULL, GO, LEFT, MISSED, NACK, NON_RETRYABLE, OVERDUE,
     READY, RECALLED, REFUSED, RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, UNFIT, WAIT, Errors, Method, Node,
-    Req, Tenant, WriteOut,
+    Req, Tenant, Attempt,
 )
 from .words import ENDING, asker, endings, mark, order, question, read_endings, read_order
 
@@ -268,7 +268,7 @@
             node.load, node.load_at = held / node.weight, now
 
     def load(self, node: Node, now: int) -> float:
-        """What is known of it, the less the older, and our own write-outs since on top."""
+        """What is known of it, the less the older, and our own attempts since on top."""
         return node.load * max(0.0, 1 - (now - node.load_at) / self.AGE) + node.in_flight / node.weight
 
 
@@ -301,7 +301,7 @@
 
 
 class Room:
-    """How many of our write-outs a node bears at once, and what part of our reqs: shown by what came in time.
+    """How many of our attempts a node bears at once, and what part of our reqs: shown by what came in time.
 
     Guards against the jam: where late work is not stopped, sending on keeps a queue full that makes all late.
     """
@@ -309,10 +309,10 @@
     LEAST, MOST = 0.05, 64.0  # one in 2 s shows when it is better; the most bounds a fall
     CLOSED = 0.02  # of our reqs still go out, else slow errors or full nodes would close all for good
     START = 12.0  # of a window: so that the least worth still has one place at a node that shows no strain
-    REST = 0.125  # of a latency budget, between write-outs, over the window, when that is below one
+    REST = 0.125  # of a latency budget, between attempts, over the window, when that is below one
     GROWTH, QUICK = 0.1, 4  # of a small window, an answer, times those in a row; faster where no share fell
     NUDGE = 0.25  # off a cache's that answered what was sent later: a lost connection, or long work, no jam
-    FALL = 0.25  # of the window is left after a jam, shown by write-outs that ran out of time
+    FALL = 0.25  # of the window is left after a jam, shown by attempts that ran out of time
     FALL_SHARE = 0.35  # of that of a node met seldom, by own and peers' time-outs: forty fed a jam with 0.5
     FALL_ALL, BACK_ALL = 0.8, 0.02  # of the common share: one in eleven out of time leaves all of it
     BACK = 0.15  # of a node's share with an answer: one in five out of time leaves all, one in two a third
@@ -332,7 +332,7 @@
         if (node.share if heard or alone else min(node.share, self.common)) < max(1 - part, calm):
             return False
         room = part * node.window
-        if room < 1:  # below one write-out at a time, one after a rest
+        if room < 1:  # below one attempt at a time, one after a rest
             return not node.in_flight and now >= node.sent + rest / room
         return node.in_flight < room
 
@@ -500,10 +500,10 @@
 
 
 class Hearsay:
-    """Tells some peers now and then how our last write-outs to each node ended, and takes in what they tell.
+    """Tells some peers now and then how our last attempts to each node ended, and takes in what they tell.
 
     Guards against learning of a full or hung node by hundreds of proxies one by one.  It moves known nodes'
-    shares alone, as one write-out of ours would, so a lost, late, repeated or wrong message does little."""
+    shares alone, as one attempt of ours would, so a lost, late, repeated or wrong message does little."""
 
     EVERY = 250_000  # well below the time in which forty proxies, none of which has seen it, jam a node
     SOON = 30_000  # one with a bad ending: a jam grows by what comes meanwhile, and endings come in bursts
@@ -613,7 +613,7 @@
 class Choice:
     FLOOR = 2  # the skip rule's least bound, the design page's
     SKIP = 2.0  # times the mean in flight a cache: the design page's; 1.5 and 3 were tried
-    FURTHER = 0.15  # further write-outs and second copies earned by each satisfied req
+    FURTHER = 0.15  # further attempts and second copies earned by each satisfied req
     FURTHER_MOST = 20.0  # and kept at most: enough for what a dying node held
     # Of reads, to their key's first replica, with each that finds no room at the origin, or some: guards an
     # origin that can't bear two copies' fetches.
@@ -694,7 +694,7 @@
         if req.over:
             return DONE, None, 0
         end = self.end(req)
-        out = [w for w in req.write_outs if w.outcome is None]
+        out = [w for w in req.attempts if w.outcome is None]
         if not req.ranked:
             req.ranked, req.luck = True, self.rng.random()
             self.popular.last.append(req.key)
@@ -702,8 +702,8 @@
             req.part = self.shares.part_of_window(req, now, chance)
             if chance < self.HOPELESS and req.luck > Room.CLOSED:
                 return self.never(req)
-        again = bool(req.write_outs) and req.write_outs[-1].outcome not in NEVER_RAN
-        spent = now >= end or len(req.write_outs) >= self.most or (out and not self.may_duplicate)
+        again = bool(req.attempts) and req.attempts[-1].outcome not in NEVER_RAN
+        spent = now >= end or len(req.attempts) >= self.most or (out and not self.may_duplicate)
         if spent or (again and self.spare < 1):
             late = out and now >= end and all(self.fills(req, w.node) for w in out)
             return self.never(req) if late or not out else (WAIT, None, 0)
@@ -715,12 +715,12 @@
         sick = self.sick(node, req.method)
         latest = self.latest(req)
         at = dict(latest=latest, zone=node.zone, cell=node.cell)
-        write_out = WriteOut(req, node, now, until, trial=sick is not None, **at)
+        attempt = Attempt(req, node, now, until, trial=sick is not None, **at)
         for one in out:  # one that still waits to go out is the repeat then, and this the first
             one.latest = min(one.latest, latest)
         if sick:
             self.health.failed(sick, False, now)
-        req.write_outs.append(write_out)
+        req.attempts.append(attempt)
         node.in_flight, node.sent = node.in_flight + 1, now
         self.ways.sent(node.zone, now)
         self.links.idle.pop(node, None)
@@ -728,35 +728,35 @@
         if until > end:  # its client is answered then; the fetch goes on
             self.later(req, end)
         elif until < end or (self.may_duplicate and self.repeatable(req)):
-            self.later(req, now + self.patience(req.method, end - now, write_out.trial))
+            self.later(req, now + self.patience(req.method, end - now, attempt.trial))
         return GO, node, until
 
-    def after(self, write_out: WriteOut, outcome: str, now: int, load=None, hit: bool = False) -> tuple:
-        req = write_out.req
+    def after(self, attempt: Attempt, outcome: str, now: int, load=None, hit: bool = False) -> tuple:
+        req = attempt.req
         if outcome == CLIENT_GONE:
-            return (DONE, None, 0), [w for w in req.write_outs if w.outcome is None]
-        node, method, origin = write_out.node, req.method, write_out.node.kind == self.origin_kind
-        write_out.outcome = outcome
+            return (DONE, None, 0), [w for w in req.attempts if w.outcome is None]
+        node, method, origin = attempt.node, req.method, attempt.node.kind == self.origin_kind
+        attempt.outcome = outcome
         if self.live and load:
             self.live.reported(node, load, now)
         node.in_flight, self.in_flight = node.in_flight - 1, self.in_flight - 1
         self.links.freed(node, now)
-        spent = now - write_out.sent
+        spent = now - attempt.sent
         often = now < node.heard + self.room.FRESH  # a node met often shows soon whether this was chance
         node.heard = now
         # Guards good nodes, here and at peers: tables that idle connections fill are no jam.
-        away = outcome == FULL and write_out.fresh and self.many
+        away = outcome == FULL and attempt.fresh and self.many
         # Not in a small fleet that tells no loads: leaving a zone of it, merely loaded, jams the rest.
         judged = not origin and (self.many or self.live)
         if judged and outcome in (SATISFIED, MISSED, OVERDUE, REFUSED, SEVERED):
             soon = spent <= self.room.SLOW_ASIDE * method.latency_budget
             self.ways.ended(node.zone, soon and outcome in (SATISFIED, MISSED))
         if outcome in (SATISFIED, MISSED):
-            if write_out.fresh:
+            if attempt.fresh:
                 self.links.taken()
             for one in {node, node.errors.get(method, node)}:
                 self.health.answered(one, now)
-            node.proven = max(node.proven, write_out.sent)
+            node.proven = max(node.proven, attempt.sent)
             method.times.append(spent)
             aside = self.origin_kind not in (-1, node.kind)
             part = self.room.SLOW_ASIDE if aside else self.room.SLOW
@@ -764,10 +764,10 @@
             late = hit and not aside and spent > self.room.SLOW_HIT * method.latency_budget
             well = not late or (often and not self.many)  # a busy proxy's windows show its queues
             if spent > method.latency_budget and node.load > Live.REST and now < node.load_at + Live.AGE:
-                self.room.ran_out(node, origin, True, often, write_out.sent, now)
+                self.room.ran_out(node, origin, True, often, attempt.sent, now)
             elif origin:
                 self.room.told(node, True)
-                self.room.origin_answered(node, spent, method.latency_budget, write_out.sent, now)
+                self.room.origin_answered(node, spent, method.latency_budget, attempt.sent, now)
             elif not well:
                 self.room.told(node, False, self.room.FALL_HIT)
             else:  # else it is long work
@@ -776,12 +776,12 @@
                 method.took.append(spent)
                 self.spare = min(self.FURTHER_MOST, self.spare + self.FURTHER)
                 self.shares.answered(req.key)
-        elif outcome == OVERDUE and 2 * (write_out.until - write_out.sent) < method.latency_budget:
+        elif outcome == OVERDUE and 2 * (attempt.until - attempt.sent) < method.latency_budget:
             pass  # it went out late: not the node's doing, and above all not the origin's after a slow miss
         elif outcome == OVERDUE and origin and spent < 2 * min(node.times, default=0):
             pass  # too short a time for the way there: guards an origin that is well, but far or cut off
-        elif outcome == OVERDUE and (self.passed_by(write_out) or (often and not node.failures)):
-            node.failures += not (write_out.doubted or self.passed_by(write_out))
+        elif outcome == OVERDUE and (self.passed_by(attempt) or (often and not node.failures)):
+            node.failures += not (attempt.doubted or self.passed_by(attempt))
             node.window = max(min(node.window, 1.0), node.window - self.room.NUDGE)
         elif outcome == ERRORED and 2 * spent >= method.latency_budget:
             # Slow errors are fetches that ran out of time: the origin behind all is pressed, not the node.
@@ -789,23 +789,23 @@
         elif outcome == ERRORED:  # held against it by method: some nodes fail one and serve the rest
             self.health.failed(node.errors.setdefault(method, Errors()), False, now)
         elif outcome in (REFUSED, SEVERED, OVERDUE):
-            if not write_out.doubted:
+            if not attempt.doubted:
                 self.health.failed(node, outcome == REFUSED, now)
             if outcome == OVERDUE:
                 method.times.append(spent)
             # An origin that refuses is full of all proxies' reqs, and there is no other: guards what is left.
             if outcome == OVERDUE or origin:
-                self.room.ran_out(node, origin, self.health.up(node), often, write_out.sent, now)
+                self.room.ran_out(node, origin, self.health.up(node), often, attempt.sent, now)
         elif away:
             self.links.turned_away(node, now)
         elif outcome == FULL and not self.live:
-            self.room.ran_out(node, origin, self.health.up(node), often, write_out.sent, now)
+            self.room.ran_out(node, origin, self.health.up(node), often, attempt.sent, now)
         elif outcome == FULL:  # where loads are told it tells of that moment alone, and nothing of others
             cold = self.cold.warmth(node, now) < 1  # what it turns away counts towards its fall
             self.room.told(node, False, self.room.FALL_SHARE if cold else self.room.FALL_ALL)
         if self.hearsay and outcome not in (RECALLED, SUPERSEDED) and not away:
             self.hearsay.note(node, 0 if outcome not in (SATISFIED, MISSED) else 1 if well else 2, now)
-        out = [w for w in req.write_outs if w.outcome is None]
+        out = [w for w in req.attempts if w.outcome is None]
         if outcome in (SATISFIED, UNFIT) or req.over:
             return (DONE if outcome != UNFIT or req.over else FAIL, None, 0), out
         if not out and (now >= self.end(req) or not self.may_send_again(req, now)):
@@ -818,7 +818,7 @@
             req = heapq.heappop(self.due)[2]
             if not req.over:
                 self.doubt(req, now)
-                (self.further if req.write_outs else self.first).append(req)
+                (self.further if req.attempts else self.first).append(req)
         talks = [talk for talk in (self.hearsay, self.order) if talk]
         ready = [*self.first, *self.further, *self.links.due(now), *(r for t in talks for r in t.due(now))]
         self.first, self.further = deque(), deque()
@@ -841,7 +841,7 @@
         return end - self.MARGIN * self.tick
 
     def patience(self, method: Method, left: int, trial: bool = False) -> int:
-        """How long a write-out may take before another is worth trying: three times what nine in ten took, at
+        """How long an attempt may take before another is worth trying: three times what nine in ten took, at
         least half of what is left: a copy sent sooner feeds the queue that made it late."""
         times = sorted(method.times)
         if trial:  # the node is down for all we know, and the req shall not suffer for our finding out
@@ -850,7 +850,7 @@
         return max(min(usual, left), left // 2)
 
     def until(self, req: Req, node: Node, now: int, end: int) -> int:
-        last = len(req.write_outs) + 1 >= self.most or node.kind == self.origin_kind  # no other is there
+        last = len(req.attempts) + 1 >= self.most or node.kind == self.origin_kind  # no other is there
         if self.fills(req, node):
             # Guards the caches while the origin is slow: given up, a fetch leaves no copy.  Twice the slowest
             # of the last: one that was lost would hold a place for nothing.
@@ -862,7 +862,7 @@
 
     def fills(self, req: Req, node: Node) -> bool:
         """A read at the origin after a cache's miss: its answer is kept there, also when it comes late."""
-        missed = any(w.outcome == MISSED for w in req.write_outs)
+        missed = any(w.outcome == MISSED for w in req.attempts)
         return missed and not req.write and node.kind == self.origin_kind
 
     def later(self, req: Req, at: int) -> None:
@@ -872,13 +872,13 @@
     def hold(self, req: Req, now: int, end: int) -> tuple:
         """Nowhere to send it now: look again soon, for a part of its time only; a quick nack costs less."""
         soon, last = now + 20_000, req.arrived + (end - req.arrived) // 8  # later ones seldom come in time
-        if soon >= last or (req.write_outs and not self.may_nack(req)):
+        if soon >= last or (req.attempts and not self.may_nack(req)):
             return self.never(req)
         self.later(req, soon)
         return WAIT, None, 0
 
-    def may_have_run(self, req: Req) -> list[WriteOut]:
-        return [w for w in req.write_outs if w.outcome not in NEVER_RAN]
+    def may_have_run(self, req: Req) -> list[Attempt]:
+        return [w for w in req.attempts if w.outcome not in NEVER_RAN]
 
     def repeatable(self, req: Req) -> bool:
         return req.method.semantics != NON_RETRYABLE
@@ -888,10 +888,10 @@
         return req.method.semantics == RETRYABLE or deduplicated or not self.may_have_run(req)
 
     def may_send_again(self, req: Req, now: int) -> bool:
-        return not req.once and len(req.write_outs) < self.most and now < self.latest(req)
+        return not req.once and len(req.attempts) < self.most and now < self.latest(req)
 
     def latest(self, req: Req) -> float:
-        """By when the last byte of its next write-out must have gone out.  Guards the effect: a decision made
+        """By when the last byte of its next attempt must have gone out.  Guards the effect: a decision made
         within the window says nothing of when a connection comes up, or a socket takes what is written."""
         ran = self.may_have_run(req)
         if not ran or req.method.semantics == RETRYABLE:
@@ -916,9 +916,9 @@
         if not self.may_send_again(req, now):
             return None
         rest = self.room.REST * req.method.latency_budget
-        missed = req.write_outs and req.write_outs[-1].outcome == MISSED
-        # The last write-out too: a cache that lacks the key would use it up for nothing.
-        if self.origin_kind >= 0 and (req.write or missed or 1 < len(req.write_outs) + 1 == self.most):
+        missed = req.attempts and req.attempts[-1].outcome == MISSED
+        # The last attempt too: a cache that lacks the key would use it up for nothing.
+        if self.origin_kind >= 0 and (req.write or missed or 1 < len(req.attempts) + 1 == self.most):
             # The rank counts half: it already let the req miss, and turned away here that was for nothing.
             part = (1 + req.part) / 2
             fit = [node for node in self.origins if self.room.has(node, part, now, 0, rest, True)]
@@ -934,7 +934,7 @@
         homes = self.placement.homes(key, k)
         replicas = homes[:k]
         again = (SUPERSEDED,) if self.live else (SUPERSEDED, FULL)  # after these the same node may be asked
-        tried = [w.node for w in req.write_outs if w.outcome not in again]
+        tried = [w.node for w in req.attempts if w.outcome not in again]
         start = self.rng.randrange(len(replicas))
         if self.lean and self.rng.random() < self.lean:
             start = 0
@@ -963,7 +963,7 @@
             sick = self.sick(node, req.method)
             if sick and now == req.arrived:
                 sick.passed += 1
-            may = not req.write_outs and (req.method.semantics == RETRYABLE or sick is not node)
+            may = not req.attempts and (req.method.semantics == RETRYABLE or sick is not node)
             if sick and may and node.state == READY and self.health.due(sick, now):
                 if req.luck < self.cold.warmth(node, now):
                     return node
@@ -995,19 +995,19 @@
         return self.rng.random() * self.live.load(node, now) > bound
 
     def doubt(self, req: Req, now: int) -> None:
-        """A write-out that outlasts patience counts against its node at once: a silent one is fed no more.
+        """An attempt that outlasts patience counts against its node at once: a silent one is fed no more.
         Where peers may talk they learn of a queue while it still grows."""
-        for write_out in req.write_outs:
-            if write_out.outcome is None and not write_out.doubted and not self.passed_by(write_out):
-                write_out.doubted = True
-                self.health.failed(write_out.node, False, write_out.sent)
+        for attempt in req.attempts:
+            if attempt.outcome is None and not attempt.doubted and not self.passed_by(attempt):
+                attempt.doubted = True
+                self.health.failed(attempt.node, False, attempt.sent)
                 if self.hearsay and self.many:
-                    self.room.told(write_out.node, False, self.room.FALL_HIT)
-                    self.hearsay.note(write_out.node, 2, now)
+                    self.room.told(attempt.node, False, self.room.FALL_HIT)
+                    self.hearsay.note(attempt.node, 2, now)
 
-    def passed_by(self, write_out: WriteOut) -> bool:
+    def passed_by(self, attempt: Attempt) -> bool:
         """The node, no origin, has answered what went out after this: it is not behind that this is late."""
-        return write_out.sent < write_out.node.proven
+        return attempt.sent < attempt.node.proven
 
     def sick(self, node: Node, method: Method) -> Node | Errors | None:
         """What keeps a method's reqs from a node: failures of the node, or its errors to that method."""
--- a/ivystack/drill/wire.py
+++ b/ivystack/drill/wire.py
@@ -26,7 +26,7 @@
     SUPERSEDED,
     Node,
     Req,
-    WriteOut,
+    Attempt,
     figures,
 )
 from ..settings import Settings, us
@@ -124,35 +124,35 @@
 
     def close(self, req: Req) -> None:
         req.over = True
-        if all(write_out.outcome is not None for write_out in req.write_outs):
+        if all(attempt.outcome is not None for attempt in req.attempts):
             ref = self.refs.pop(req, None)
             self.reqs.pop(ref, None)
 
     def finished(self, now, ref, number, node, ending, delay=None, last=False, info=None, told=None, *_):
         req = self.reqs.get(ref)
-        if req is None or not 0 <= number < len(req.write_outs) or ending not in ENDINGS:
-            raise BadLineError("an ending of a write-out that was never made, or of no known kind")
-        write_out = req.write_outs[number]
-        if write_out.outcome is not None:
-            raise BadLineError("a second ending of one write-out")
+        if req is None or not 0 <= number < len(req.attempts) or ending not in ENDINGS:
+            raise BadLineError("an ending of an attempt that was never made, or of no known kind")
+        attempt = req.attempts[number]
+        if attempt.outcome is not None:
+            raise BadLineError("a second ending of one attempt")
         if last:
             req.over = True
         load = figures(told, self.settings.columns)
-        answer, off = decided(self.choice.after, write_out, ENDINGS[ending], now, load, info == 1)
+        answer, off = decided(self.choice.after, attempt, ENDINGS[ending], now, load, info == 1)
         self.call_off(req, off)
         self.carry(req, (DONE, None, 0) if req.over else answer)
 
-    def call_off(self, req: Req, off: list[WriteOut]) -> None:
-        for write_out in off:
-            self.out.append(["CANCEL", self.name, self.refs[req], req.write_outs.index(write_out)])
+    def call_off(self, req: Req, off: list[Attempt]) -> None:
+        for attempt in off:
+            self.out.append(["CANCEL", self.name, self.refs[req], req.attempts.index(attempt)])
 
     def client_gone(self, now, ref, *_):
         req = self.reqs.get(ref)
         if req is None or req.over:
             return  # we ended it a moment ago
         req.over = True
-        if req.write_outs:
-            self.call_off(req, decided(self.choice.after, req.write_outs[-1], CLIENT_GONE, now)[1])
+        if req.attempts:
+            self.call_off(req, decided(self.choice.after, req.attempts[-1], CLIENT_GONE, now)[1])
         self.close(req)
 
     def listed(self, now, entries, how):
--- a/ivystack/model.py
+++ b/ivystack/model.py
@@ -13,7 +13,7 @@
 # (FAIL, None, 0), or (DONE, None, 0) when nothing more is owed.
 GO, WAIT, NACK, FAIL, DONE = "go", "wait", "nack", "fail", "done"
 
-# How a write-out can end.
+# How an attempt can end.
 SATISFIED, ERRORED, FULL, OVERDUE, REFUSED, SEVERED, RECALLED, SUPERSEDED, MISSED, UNFIT = (
     "satisfied",
     "errored",
@@ -26,7 +26,7 @@
     "missed",
     "unfit",  # the node can't use such a req; nor could another
 )
-CLIENT_GONE = "client gone"  # no ending of a write-out: its req needs no answer any more
+CLIENT_GONE = "client gone"  # no ending of an attempt: its req needs no answer any more
 
 # What a method's reqs bear.
 RETRYABLE, DEDUPLICATED, NON_RETRYABLE = "retryable", "deduplicated", "non-retryable"
@@ -59,7 +59,7 @@
     unnamed: bool = False  # known by another proxy's slots alone, its name their mark for it
     drained: bool = False  # seen leaving since it last was ready
     left_at: int = 0
-    in_flight: int = 0  # own write-outs there
+    in_flight: int = 0  # own attempts there
     sent: int = 0  # when the last went out
     failures: int = 0  # in a row
     broken: bool = False  # one of them was a broken or refused connection
@@ -68,12 +68,12 @@
     passed: int = 0  # own reqs that would have gone there since the last trial
     proven: int = 0  # when the latest of those that were answered in time had gone out
     errors: dict = field(default_factory=dict)  # by method: answered with an error last
-    heard: int = -1_000_000_000  # when a write-out there last ended
+    heard: int = -1_000_000_000  # when an attempt there last ended
     in_time: int = 0  # answers in a row
     slow: bool = False  # the last answer was, for its latency budget
     cut: int = 0  # when the window fell last
     crowded: int = -1_000_000_000  # when it last turned away a new connection of ours
-    window: float = 0.0  # own write-outs it bears at once
+    window: float = 0.0  # own attempts it bears at once
     times: tuple[int, ...] = ()  # an origin's last answers'
     load: float = 0.0  # reqs that it held a core, as told last
     load_at: int = -1_000_000_000
@@ -89,7 +89,7 @@
     group: str = "all"  # deduplicated: which nodes drop a repeat: all, zone or cell
     window: int = 0  # and for how long
     tardy: float = 0.0  # what an answer after the latency budget is worth
-    times: deque = field(default_factory=lambda: deque(maxlen=64))  # its last write-outs' times
+    times: deque = field(default_factory=lambda: deque(maxlen=64))  # its last attempts' times
     took: deque = field(default_factory=lambda: deque(maxlen=64))  # those of them that were answered
 
 
@@ -114,14 +114,14 @@
     part: float = 1.0  # of a node's window that it may use, by its rank
     calm: float = 0.0  # the share of reqs that a node must take to be given this one
     luck: float = 0.0  # drawn once: a node as warm as this may take it
-    write_outs: list = field(default_factory=list)
+    attempts: list = field(default_factory=list)
     once: bool = False  # some of its bytes have gone out and are nowhere else: it can't go out again
     saying: tuple[int, bytes] | None = None  # standing req: a message to the peer of that number
     closing: Node | None = None  # standing req: close the idle connections to this node
 
 
 @dataclass(eq=False, slots=True)
-class WriteOut:
+class Attempt:
     req: Req
     node: Node | None
     sent: int
--- a/ivystack/net/handover.py
+++ b/ivystack/net/handover.py
@@ -77,7 +77,7 @@
     instances: list[dict]  # the list, in discovery's form
     slots: list[str]
     nodes: dict[str, Seen]
-    times: dict[str, list[int]]  # by class: its last write-outs'
+    times: dict[str, list[int]]  # by class: its last attempts'
     common: float
 
 
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -1,7 +1,7 @@
-"""Connections to cache nodes: reuse, opening, giving up, and what each ending of a write-out proves.
+"""Connections to cache nodes: reuse, opening, giving up, and what each ending of an attempt proves.
 
-Owns every connection to a node and the write-outs on them or waiting for one.  It must never choose a node,
-repeat a write-out, or call one unsent whose bytes were handed to an open connection.
+Owns every connection to a node and the attempts on them or waiting for one.  It must never choose a node,
+repeat an attempt, or call one unsent whose bytes were handed to an open connection.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 
 from ..model import (  # fmt: skip
     ERRORED, FULL, MISSED, OVERDUE, RECALLED, REFUSED, RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, UNFIT,
-    WriteOut,
+    Attempt,
 )
 from . import tables
 from .relay import Relay, Upload
@@ -22,12 +22,12 @@
 
 
 class Sending:
-    """One write-out on its way: it waits at a place for a connection, or is out on a link, or has ended."""
+    """One attempt on its way: it waits at a place for a connection, or is out on a link, or has ended."""
 
-    __slots__ = ("write_out", "frame", "upload", "link", "place", "until", "over", "report", "hit")
+    __slots__ = ("attempt", "frame", "upload", "link", "place", "until", "over", "report", "hit")
 
-    def __init__(self, write_out: WriteOut, frame, upload: Upload | None = None):
-        self.write_out, self.frame, self.upload = write_out, frame, upload
+    def __init__(self, attempt: Attempt, frame, upload: Upload | None = None):
+        self.attempt, self.frame, self.upload = attempt, frame, upload
         self.link: Link | None = None
         self.place: Place | None = None
         self.until: list[list] = []  # its deadlines
@@ -46,8 +46,8 @@
     def __init__(self, name: str, address: tuple[str, int]):
         self.name, self.address = name, address
         self.ready = True  # as listed
-        self.broke = 0  # connections in a row that ended under a write-out
-        # The one used longest ago is the next one used: an end that crosses a write-out mostly comes right
+        self.broke = 0  # connections in a row that ended under an attempt
+        # The one used longest ago is the next one used: an end that crosses an attempt mostly comes right
         # after an answer, and all stay in use.
         self.idle: deque[Link] = deque()
         self.waiting: deque[Sending] = deque()
@@ -56,7 +56,7 @@
 
 
 class Link(Resp):
-    """A connection to a node; answers come in the order of the write-outs on it."""
+    """A connection to a node; answers come in the order of the attempts on it."""
 
     most = LONGEST
     arrays_from = 2  # the load report; the value and how it went are none
@@ -70,7 +70,7 @@
         self.up = False
         self.reading = False  # more may lie behind the answer just read
         self.last = (0, 0)  # the value that came last, hashed, or a long one's size; and when
-        self.busy_at = -Nodes.DOUBT  # when it last turned a write-out away
+        self.busy_at = -Nodes.DOUBT  # when it last turned an attempt away
         self.relay: Relay | None = None  # the long answer that is being passed on
         self.slot = nodes.links.put(self)
 
@@ -161,8 +161,8 @@
 class Nodes:
     EACH = 16  # connections to one node: some times what is out there at once, a part of its table
     PART = 3  # of the descriptors, one in so many is for nodes
-    AHEAD = 0.8  # of the time after which a node closes an idle one, we do: theirs may cross a write-out
-    FEW = 6  # connections to a node before a write-out goes behind others instead of on a new one
+    AHEAD = 0.8  # of the time after which a node closes an idle one, we do: theirs may cross an attempt
+    FEW = 6  # connections to a node before an attempt goes behind others instead of on a new one
     COPY = 5_000  # two equal values so soon after each other are one and its copy: each is made for its req
     DOUBT = 100_000  # so soon after another a -BUSY may be that one's copy: they come some milliseconds late
     STALLS = 10_000_000  # without a byte of a long answer that is being passed on: peers take seconds for one
@@ -171,7 +171,7 @@
 
     def __init__(self, reactor, deadlines, now, ended, sockets, idle, connect_timeout, deep, aside, memory):
         self.reactor, self.deadlines, self.now = reactor, deadlines, now
-        self.ended = ended  # told of each write-out's outcome, once, never from within `send`
+        self.ended = ended  # told of each attempt's outcome, once, never from within `send`
         self.relaying: dict[Link, Relay] = {}
         self.tune(idle, connect_timeout, deep, aside)
         self.links = tables.Slots()
@@ -188,7 +188,7 @@
 
     def tune(self, idle: int, connect_timeout: int, deep: int, aside: bool = False) -> None:
         self.idle, self.connect_timeout = int(idle * self.AHEAD), connect_timeout
-        self.deep = deep  # write-outs on a connection at once; one where giving up is closing
+        self.deep = deep  # attempts on a connection at once; one where giving up is closing
         self.linger = self.LINGER if deep > 1 else 0
         self.aside = aside  # nodes tell that they lack a value, and fetch none themselves
 
@@ -237,7 +237,7 @@
         for link in self.links.values():
             link.code = link.code or "stopping"
 
-    # Write-outs.
+    # Attempts.
 
     def send(self, sending: Sending, name: str, until: int) -> None:
         place = sending.place = self.places[name]
@@ -248,7 +248,7 @@
             if link.code is None:
                 return self.write(link, sending)
         few = min(self.FEW, max(2, self.most // len(self.places)))  # all nodes' shall fit our table
-        latest = sending.write_out.latest
+        latest = sending.attempt.latest
         # One that must be there in time goes behind nothing: what holds back those before it would hold it
         # back too, in our socket or in theirs, past the time at which it may still begin.
         if len(place.links) >= few and self.deep > 1 and latest > until + self.linger:
@@ -261,7 +261,7 @@
         self.open(place)
 
     def fits(self, link: Link) -> bool:
-        """One more write-out can go behind those on it, none of which has been given up."""
+        """One more attempt can go behind those on it, none of which has been given up."""
         given_up = any(one.over or one.partial() for one in link.out)
         return len(link.out) < self.deep and not link.reading and not given_up
 
@@ -284,10 +284,10 @@
 
     def write(self, link: Link, sending: Sending) -> None:
         sending.link = link
-        sending.write_out.fresh = not link.carried  # a -BUSY then is of the node's table
+        sending.attempt.fresh = not link.carried  # a -BUSY then is of the node's table
         link.out.append(sending)
         link.carried += 1
-        rest = max(1, (sending.write_out.until - self.now()) // 1000)
+        rest = max(1, (sending.attempt.until - self.now()) // 1000)
         if sending.upload is None:
             return link.transport.writeSequence(sending.frame.telling(rest))
         link.transport.writeSequence(sending.frame.telling(sending.upload.rest))
@@ -301,7 +301,7 @@
 
     def no_link_came(self, sending: Sending) -> None:
         if sending.link is None:  # where we opened none, it is our table that was full, not the node
-            late = self.now() >= sending.write_out.latest
+            late = self.now() >= sending.attempt.latest
             self.end(sending, SUPERSEDED if late else REFUSED if sending.place.opening else FULL)
 
     def give_up(self, sending: Sending, outcome: str) -> None:
@@ -358,7 +358,7 @@
     def free(self, link: Link) -> None:
         place = link.place
         while place.waiting and not link.out:  # telling of one's end may have sent another on this link
-            if self.now() < place.waiting[0].write_out.latest:
+            if self.now() < place.waiting[0].attempt.latest:
                 return self.write(link, place.waiting.popleft())
             self.end(place.waiting[0], SUPERSEDED)  # the link came too late for its window, not for its time
         if link.out:
@@ -397,7 +397,7 @@
             link.last = relay.size, self.now()
             relay.whole()
         elif outcome == SATISFIED:
-            # Guards the next req against a second copy of this answer that crossed its write-out.
+            # Guards the next req against a second copy of this answer that crossed its attempt.
             last, link.last = link.last, (hash(value[0]), self.now())
             if last[0] == link.last[0] and link.last[1] - last[1] < self.COPY:
                 return self.spoilt(link, "a second copy")
@@ -406,9 +406,9 @@
         sending = link.out.popleft()
         if outcome == FULL:
             busy_at, link.busy_at = link.busy_at, self.now()
-            # Guards the effect against a second copy of a -BUSY that crossed this write-out: it proves
+            # Guards the effect against a second copy of a -BUSY that crossed this attempt: it proves
             # nothing of it.  A value's copy is told by the value, this one by nothing.
-            if link.busy_at - busy_at < self.DOUBT and sending.write_out.req.method.semantics != RETRYABLE:
+            if link.busy_at - busy_at < self.DOUBT and sending.attempt.req.method.semantics != RETRYABLE:
                 outcome = RECALLED
         link.answers += 1
         link.place.broke = 0
@@ -459,7 +459,7 @@
             link.drop("called-off")
 
     def read(self, link: Link) -> None:
-        """All that came has been read: only now may the link carry the next write-out, whose answer could not
+        """All that came has been read: only now may the link carry the next attempt, whose answer could not
         be told from what came too much before it."""
         if link.out:
             return
@@ -469,7 +469,7 @@
             self.free(link)
 
     def spoilt(self, link: Link, why: str) -> None:
-        """What came is no answer: the write-out it came for has failed and may have run.  Those behind it get
+        """What came is no answer: the attempt it came for has failed and may have run.  Those behind it get
         no answer any more; that is held against the node once, not once for each."""
         link.drop(f"strange: {why}")
         self.end_all(link, ERRORED)
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -14,7 +14,7 @@
 from twisted.python.failure import Failure
 
 from ..model import (  # fmt: skip
-    CLIENT_GONE, DONE, FAIL, GO, LEAVING, LEFT, NACK, READY, SATISFIED, WAIT, Node, Req, WriteOut, figures,
+    CLIENT_GONE, DONE, FAIL, GO, LEAVING, LEFT, NACK, READY, SATISFIED, WAIT, Node, Req, Attempt, figures,
 )
 from ..settings import Run, address, doubtful
 from .admin import Admin
@@ -59,8 +59,8 @@
         self.deadlines = Deadlines(reactor, self.now)
         self.reqs = Slots()
         self.held: dict[Req, Held] = {}
-        self.sendings: dict[WriteOut, Sending] = {}
-        self.ends: deque[tuple[WriteOut, str, dict, bool]] = deque()  # outcomes still to be told
+        self.sendings: dict[Attempt, Sending] = {}
+        self.ends: deque[tuple[Attempt, str, dict, bool]] = deque()  # outcomes still to be told
         self.settling = False
         self.alarm: list | None = None
         self.useless: deque[int] = deque(maxlen=64)  # the list's entries that can't be used and were told
@@ -297,29 +297,29 @@
             return
         req, now = held.req, self.now()
         req.arrived, req.give_up_at = now, now + held.wait
-        write_out = req.write_outs[-1]
-        write_out.sent, write_out.until = now, self.choice.end(req)
-        self.nodes.through(self.sendings[write_out], write_out.until)
+        attempt = req.attempts[-1]
+        attempt.sent, attempt.until = now, self.choice.end(req)
+        self.nodes.through(self.sendings[attempt], attempt.until)
         self.deadlines.drop(held.last_call)
         held.last_call = self.deadlines.at(req.give_up_at + self.LAST, self.answer, req, FAIL)
 
     def cut(self, upload: Upload) -> None:
         """A long write will never come whole."""
         self.answer(upload.req, FAIL)
-        self.call_off([w for w in upload.req.write_outs if w.outcome is None])
+        self.call_off([w for w in upload.req.attempts if w.outcome is None])
 
     def gone(self, slots: list[int]) -> None:
-        """A client has left, and these were its reqs.  All are closed first: calling one's write-outs off
+        """A client has left, and these were its reqs.  All are closed first: calling one's attempts off
         settles what is due, and nothing of the others may be sent on by then."""
         left = [self.reqs[slot] for slot in slots]
         for held in left:
             self.close(held)
-        for req in (held.req for held in left if held.req.write_outs):
+        for req in (held.req for held in left if held.req.attempts):
             try:
-                off = self.choice.after(req.write_outs[-1], CLIENT_GONE, self.now())[1]
+                off = self.choice.after(req.attempts[-1], CLIENT_GONE, self.now())[1]
             except Exception:
                 logger.exception("decisions failed: a client went away")
-                off = [w for w in req.write_outs if w.outcome is None]
+                off = [w for w in req.attempts if w.outcome is None]
             self.call_off(off)
         self.settle()
 
@@ -356,9 +356,9 @@
             if word == GO:
                 self.nodes.release(node.name)
         elif word == GO:
-            write_out, held = req.write_outs[-1], self.held[req]
+            attempt, held = req.attempts[-1], self.held[req]
             self.deadlines.drop(held.place_by)
-            sending = self.sendings[write_out] = Sending(write_out, held.frame, held.upload)
+            sending = self.sendings[attempt] = Sending(attempt, held.frame, held.upload)
             self.nodes.send(sending, node.name, when)
         elif word == WAIT:
             self.seek(self.held.get(req))
@@ -378,15 +378,15 @@
             held.place_by = self.deadlines.at(self.now() + held.wait // 8, self.no_place, held)
 
     def no_place(self, held: Held) -> None:
-        if all(write_out.outcome for write_out in held.req.write_outs):
+        if all(attempt.outcome for attempt in held.req.attempts):
             self.answer(held.req, NACK, -(-self.choice.come_back // 1000))
 
     def ended(self, sending: Sending, outcome: str, value: bytes | None) -> None:
-        """A write-out has ended; the client of a satisfied one gets its answer before all else."""
-        del self.sendings[sending.write_out]
+        """An attempt has ended; the client of a satisfied one gets its answer before all else."""
+        del self.sendings[sending.attempt]
         if outcome == SATISFIED:
-            self.answer(sending.write_out.req, SATISFIED, value)
-        self.ends.append((sending.write_out, outcome, self.load(sending.report), sending.hit))
+            self.answer(sending.attempt.req, SATISFIED, value)
+        self.ends.append((sending.attempt, outcome, self.load(sending.report), sending.hit))
         self.settle()
 
     def load(self, report) -> dict[str, float]:
@@ -398,21 +398,21 @@
         except (ValueError, AttributeError):  # no JSON, no object
             return {}
 
-    def after(self, write_out: WriteOut, outcome: str, load: dict[str, float], hit: bool) -> None:
-        req = write_out.req
+    def after(self, attempt: Attempt, outcome: str, load: dict[str, float], hit: bool) -> None:
+        req = attempt.req
         try:
-            answer, off = self.choice.after(write_out, outcome, self.now(), load, hit)
+            answer, off = self.choice.after(attempt, outcome, self.now(), load, hit)
         except Exception:
             logger.exception("decisions failed: after")
-            answer, off = (FAIL, None, 0), [w for w in req.write_outs if w in self.sendings]
+            answer, off = (FAIL, None, 0), [w for w in req.attempts if w in self.sendings]
         self.call_off(off)
         if not req.over and answer[0] != DONE:
             self.carry(req, answer)
 
-    def call_off(self, write_outs: list[WriteOut]) -> None:
-        for write_out in write_outs:
-            if write_out in self.sendings:
-                self.nodes.call_off(self.sendings[write_out])
+    def call_off(self, attempts: list[Attempt]) -> None:
+        for attempt in attempts:
+            if attempt in self.sendings:
+                self.nodes.call_off(self.sendings[attempt])
 
     def settle(self) -> None:
         """Tells the decisions what has ended and asks them for all that is due, until there is nothing."""
--- a/ivystack/net/relay.py
+++ b/ivystack/net/relay.py
@@ -155,7 +155,7 @@
             self.stuck = None
 
     def broke(self) -> None:
-        """The write-out has ended before it was whole."""
+        """The attempt has ended before it was whole."""
         self.leave()
         if self.req.once:
             self.discard()
--- a/ivystack/rig/account.py
+++ b/ivystack/rig/account.py
@@ -33,7 +33,7 @@
         parts = [f"p{part:g} {at(part) / 1000:.0f} ms" for part in (50, 95, 99)]
         lines.append("from when it was due to its answer: " + ", ".join(parts))
     lines.append(
-        f"write-outs {len(ledger.taken)}, effects {len(ledger.effects)}, "
+        f"attempts {len(ledger.taken)}, effects {len(ledger.effects)}, "
         f"repeats recognized {len(ledger.dropped)}, at the origin {ledger.fetches}; "
         f"discovery: {sum(ledger.calls.values())} calls, {sum(ledger.lines.values())} lines"
     )
--- a/ivystack/rig/swarm.py
+++ b/ivystack/rig/swarm.py
@@ -22,7 +22,7 @@
 
 from ..choice import Choice
 from ..model import (  # fmt: skip
-    FAIL, FULL, GO, LEFT, MISSED, NACK, OVERDUE, READY, REFUSED, SATISFIED, Node, Req, WriteOut,
+    FAIL, FULL, GO, LEFT, MISSED, NACK, OVERDUE, READY, REFUSED, SATISFIED, Node, Req, Attempt,
 )
 from ..settings import Settings
 
@@ -86,7 +86,7 @@
     overload: float = 4.0  # times what it can do by then pushes a cold node over,
     fall: int = S  # over such a time
     table: int = 1 << 30  # connections that a node holds: beyond, new ones are turned away
-    write_outs: int = 3
+    attempts: int = 3
     peers: bool = True
     aside: bool = False  # caches tell a miss, and proxies ask the origin; writes go there alone
     tenants: dict[str, float] = field(default_factory=dict)  # and what each is allowed, a second
@@ -184,7 +184,7 @@
         self.choice: Choice = settings.choice
         self.methods, self.tenants = settings.methods, settings.tenants
         self.alarm: int | None = None
-        self.out: dict[WriteOut, Asked] = {}
+        self.out: dict[Attempt, Asked] = {}
         self.asked: dict[Req, Asked] = {}
         self.dead = False
         self.choice.listed(nodes, True, now)
@@ -219,7 +219,7 @@
 
     def sheet(self, number: int) -> dict:
         world = self.world
-        limits = {"most_write_outs": world.write_outs, "may_duplicate": True, "conn_idle": 60 * S * 1000}
+        limits = {"most_write_outs": world.attempts, "may_duplicate": True, "conn_idle": 60 * S * 1000}
         limits |= {"peers": world.peers, "retry_after": True, "max_retry_after": 1_200_000_000}
         aside = {"kinds": ["cache", ORIGIN], "specifics": {"origin_kind": 1}} if world.aside else {}
         return aside | {
@@ -291,7 +291,7 @@
             if node.name in self.servers:
                 self.servers[node.name].held.discard(proxy)
         elif word == GO:
-            self.send(proxy, req.write_outs[-1], until)
+            self.send(proxy, req.attempts[-1], until)
         elif word in (NACK, FAIL):
             self.over(proxy, req, word)
 
@@ -328,48 +328,48 @@
             proxy.alarm = None
             self.settle(proxy)
 
-    def send(self, proxy: Proxy, write_out: WriteOut, until: int) -> None:
-        self.at(until, self.after, proxy, write_out, OVERDUE)
-        self.at(self.now + self.world.way, self.comes, proxy, write_out)
+    def send(self, proxy: Proxy, attempt: Attempt, until: int) -> None:
+        self.at(until, self.after, proxy, attempt, OVERDUE)
+        self.at(self.now + self.world.way, self.comes, proxy, attempt)
 
-    def fetches(self, write_out: WriteOut) -> int:
+    def fetches(self, attempt: Attempt) -> int:
         """When the origin has answered a proxy; of a read the cache that missed keeps the value."""
-        missed = [w.node.name for w in write_out.req.write_outs if w.outcome == MISSED]
+        missed = [w.node.name for w in attempt.req.attempts if w.outcome == MISSED]
         if missed and missed[-1] in self.servers:
-            self.servers[missed[-1]].keep(write_out.req.key)
+            self.servers[missed[-1]].keep(attempt.req.key)
         return self.origin.fetched_at(self.now)
 
-    def comes(self, proxy: Proxy, write_out: WriteOut) -> None:
-        if write_out.node.name == ORIGIN:
-            return self.at(self.fetches(write_out) + self.world.way, self.after, proxy, write_out, SATISFIED)
-        server = self.servers.get(write_out.node.name)
+    def comes(self, proxy: Proxy, attempt: Attempt) -> None:
+        if attempt.node.name == ORIGIN:
+            return self.at(self.fetches(attempt) + self.world.way, self.after, proxy, attempt, SATISFIED)
+        server = self.servers.get(attempt.node.name)
         if server is None or server.gone:
-            return self.at(self.now + self.world.way, self.after, proxy, write_out, REFUSED)
-        if server.hung or write_out.outcome is not None or proxy.dead:
+            return self.at(self.now + self.world.way, self.after, proxy, attempt, REFUSED)
+        if server.hung or attempt.outcome is not None or proxy.dead:
             return
-        write_out.fresh = proxy not in server.held
-        if write_out.fresh and len(server.held) >= self.world.table:
-            return self.at(self.now + self.world.way, self.after, proxy, write_out, FULL)
+        attempt.fresh = proxy not in server.held
+        if attempt.fresh and len(server.held) >= self.world.table:
+            return self.at(self.now + self.world.way, self.after, proxy, attempt, FULL)
         server.held.add(proxy)
-        if self.world.aside and not server.has(write_out.req.key):
-            return self.at(self.now + self.world.way, self.after, proxy, write_out, MISSED)
-        asked = proxy.asked.get(write_out.req)
+        if self.world.aside and not server.has(attempt.req.key):
+            return self.at(self.now + self.world.way, self.after, proxy, attempt, MISSED)
+        asked = proxy.asked.get(attempt.req)
         work = (asked.load.work if asked else self.loads[0].work) * self.rng.gammavariate(3, 1 / 3)
         server.takes(work, self.now)
-        done = server.done_at(work, write_out.req.key, self.now, self.origin)
-        self.at(done + self.world.way, self.after, proxy, write_out, SATISFIED)
+        done = server.done_at(work, attempt.req.key, self.now, self.origin)
+        self.at(done + self.world.way, self.after, proxy, attempt, SATISFIED)
 
-    def after(self, proxy: Proxy, write_out: WriteOut, outcome: str) -> None:
-        if write_out.outcome is not None or proxy.dead:
+    def after(self, proxy: Proxy, attempt: Attempt, outcome: str) -> None:
+        if attempt.outcome is not None or proxy.dead:
             return
-        answer, off = proxy.choice.after(write_out, outcome, self.now, None, outcome == SATISFIED)
+        answer, off = proxy.choice.after(attempt, outcome, self.now, None, outcome == SATISFIED)
         if outcome == SATISFIED:
-            self.over(proxy, write_out.req, SATISFIED)
+            self.over(proxy, attempt.req, SATISFIED)
         for other in off:
             if other.outcome is None:
                 proxy.choice.after(other, "recalled", self.now)
-        if not write_out.req.over:
-            self.carry(proxy, write_out.req, answer)
+        if not attempt.req.over:
+            self.carry(proxy, attempt.req, answer)
         self.settle(proxy)
 
     # Faults and the list.
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -417,7 +417,7 @@
         if one.semantics != DEDUPLICATED:
             continue
         if one.window <= settings.choice.MARGIN * settings.choice.tick:
-            found.append(f"`{key}`: {one.window} us; no write-out of {one.name} is ever repeated")
+            found.append(f"`{key}`: {one.window} us; no req of {one.name} is ever sent again")
         elif one.window <= run.connect_timeout:
             found.append(f"`{key}`: {one.window} us, no longer than `settings.limits.connect_timeout`")
     return found
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -26,7 +26,7 @@
     Method,
     Node,
     Req,
-    WriteOut,
+    Attempt,
 )
 
 PRINTED = [0, 2, 3, 2, 1, 3, 3, 3, 1, 3, 9, 12, 1]  # the paper's expansion of 12345678910, from x_1 on
@@ -111,11 +111,11 @@
     assert sum(made.where(req(key=key), 2)[0] == GO for key in range(400)) < 80  # all are cold
 
 
-def test_no_second_write_out_of_a_non_retryable_req_that_may_have_run():
+def test_no_second_attempt_of_a_non_retryable_req_that_may_have_run():
     made = choice(nodes(4))
     asked = req(NON_RETRYABLE)
     made.where(asked, 0)
-    assert made.after(asked.write_outs[0], ERRORED, 10)[0][0] == FAIL
+    assert made.after(asked.attempts[0], ERRORED, 10)[0][0] == FAIL
 
 
 def test_non_retryable_goes_out_again_when_it_never_ran():
@@ -123,7 +123,7 @@
         made = choice(nodes(4))
         asked = req(NON_RETRYABLE)
         made.where(asked, 0)
-        assert made.after(asked.write_outs[0], outcome, 10)[0][0] == WAIT
+        assert made.after(asked.attempts[0], outcome, 10)[0][0] == WAIT
         assert made.wait(10)[1] == [asked] and made.where(asked, 10)[0] == GO
 
 
@@ -131,24 +131,24 @@
     made = choice(nodes(4))
     asked = req(DEDUPLICATED, window=S // 2)
     made.where(asked, 0)
-    assert made.after(asked.write_outs[0], ERRORED, S * 6 // 10)[0][0] == NACK
+    assert made.after(asked.attempts[0], ERRORED, S * 6 // 10)[0][0] == NACK
     outside = req(DEDUPLICATED, window=S // 2, group="zone")
     made.where(outside, 0)
-    assert made.after(outside.write_outs[0], ERRORED, S * 6 // 10)[0][0] == FAIL
+    assert made.after(outside.attempts[0], ERRORED, S * 6 // 10)[0][0] == FAIL
 
 
 def test_never_two_at_once_where_forbidden():
     made = choice(nodes(4), may_duplicate=False)
     asked = req()
     made.where(asked, 0)
-    assert made.where(asked, 500)[0] == WAIT and len(asked.write_outs) == 1
+    assert made.where(asked, 500)[0] == WAIT and len(asked.attempts) == 1
 
 
 def test_late_is_given_up_at_once():
     made = choice(nodes(4))
     asked = req(budget=S // 2)
     assert made.where(asked, 0)[2] == S // 2
-    assert made.after(asked.write_outs[0], OVERDUE, S // 2)[0][0] == NACK
+    assert made.after(asked.attempts[0], OVERDUE, S // 2)[0][0] == NACK
 
 
 def test_failures_in_a_row_take_a_node_out_and_an_answer_brings_it_back():
@@ -168,17 +168,17 @@
     made = choice([*nodes(3), Node("origin", kind=4)], origin=4, may_duplicate=False)
     asked = req()
     made.where(asked, 0)
-    made.after(asked.write_outs[0], MISSED, 10)
+    made.after(asked.attempts[0], MISSED, 10)
     made.wait(10)
     assert made.where(asked, 10)[1].name == "origin" and len(made.placement.slots) == 3
 
 
-def test_further_write_outs_keep_to_their_budget_and_come_after_first_ones():
+def test_further_attempts_keep_to_their_budget_and_come_after_first_ones():
     made = choice(nodes(4))
     made.spare = 0.5
     asked = req()
     made.where(asked, 0)
-    made.after(asked.write_outs[0], ERRORED, 10)
+    made.after(asked.attempts[0], ERRORED, 10)
     waiting = req(key=9)
     made.first.append(waiting)
     assert made.wait(10)[1] == [waiting, asked] and made.where(asked, 10)[0] == NACK
@@ -189,17 +189,17 @@
     asked = req()
     made.where(asked, 0)
     made.where(asked, S // 4)
-    assert made.after(asked.write_outs[0], SATISFIED, S // 3) == (("done", None, 0), [asked.write_outs[1]])
+    assert made.after(asked.attempts[0], SATISFIED, S // 3) == (("done", None, 0), [asked.attempts[1]])
 
 
 def test_full_node_is_no_failure():
     made = choice(nodes(4))
     asked = req()
     node = made.where(asked, 0)[1]
-    made.after(asked.write_outs[0], FULL, 10)
+    made.after(asked.attempts[0], FULL, 10)
     assert node.failures == 0
     made.wait(10)
-    made.after(asked.write_outs[0], REFUSED, 10)
+    made.after(asked.attempts[0], REFUSED, 10)
     assert node.failures == 1
 
 
@@ -210,7 +210,7 @@
     assert parts[-1] > max(parts[60:100])
 
 
-def test_a_window_below_one_spaces_write_outs():
+def test_a_window_below_one_spaces_attempts():
     made = choice(nodes(1))
     node = made.placement.slots[0]
     node.window, node.sent = 0.1, 0
@@ -236,7 +236,7 @@
     asked = req()
     node = made.where(asked, S * 8 // 10)[1]
     before = node.window
-    made.after(asked.write_outs[0], OVERDUE, S)
+    made.after(asked.attempts[0], OVERDUE, S)
     assert node.window == before and node.failures == 0
 
 
@@ -246,32 +246,32 @@
     writes = [req(write=True, arrived=place) for place in range(20)]
     for write in writes:
         origin = made.where(write, write.arrived)[1]
-    made.after(writes[0].write_outs[0], OVERDUE, S)
+    made.after(writes[0].attempts[0], OVERDUE, S)
     assert origin.window == 10
-    made.after(writes[1].write_outs[0], OVERDUE, S + 1)
+    made.after(writes[1].attempts[0], OVERDUE, S + 1)
     assert origin.window == 10  # one jam
-    made.after(writes[19].write_outs[0], SATISFIED, S + 2)
-    made.after(writes[18].write_outs[0], OVERDUE, S + 2)
+    made.after(writes[19].attempts[0], SATISFIED, S + 2)
+    made.after(writes[18].attempts[0], OVERDUE, S + 2)
     assert origin.window > 9  # one that others passed is chance
 
 
-def test_a_time_out_that_later_write_outs_passed_is_no_jam_and_no_failure():
+def test_a_time_out_that_later_attempts_passed_is_no_jam_and_no_failure():
     # Guards against shedding at unstrained nodes for lost connections and long work.
     made = choice(nodes(1))
     node = made.nodes["n00"]
     late, quick, behind = req(), req(arrived=10), req(arrived=20)
     for one in (late, quick, behind):
         made.where(one, one.arrived)
-    made.after(quick.write_outs[0], SATISFIED, 30)
+    made.after(quick.attempts[0], SATISFIED, 30)
     before = node.window
     made.doubt(late, 30)
-    made.after(late.write_outs[0], OVERDUE, S)
+    made.after(late.attempts[0], OVERDUE, S)
     assert before - 1 < node.window < before and (node.failures, node.share, made.room.common) == (0, 1, 1)
-    made.after(behind.write_outs[0], OVERDUE, S + 20)  # a lone one at a node heard from just now: the same
+    made.after(behind.attempts[0], OVERDUE, S + 20)  # a lone one at a node heard from just now: the same
     assert before - 1 < node.window and node.failures == 1
     further = req(arrived=S)
     made.where(further, S)
-    made.after(further.write_outs[0], OVERDUE, 2 * S)
+    made.after(further.attempts[0], OVERDUE, 2 * S)
     assert node.window < before * 0.6 and node.failures == 2
 
 
@@ -282,7 +282,7 @@
     for _ in range(made.health.FAILED):
         asked = Req(bad, 0, S, 7)
         assert made.where(asked, 0)[0] == GO
-        made.after(asked.write_outs[0], ERRORED, 10)
+        made.after(asked.attempts[0], ERRORED, 10)
     assert made.pick(Req(bad, 10, S, 7), 10) is None and made.pick(Req(good, 10, S, 7), 10) is node
     later = made.health.PAUSE + 20
     picked = [made.pick(Req(bad, later, later + S, 7), later) for _ in range(3)]
@@ -321,7 +321,7 @@
     made = choice(nodes(4), proxies=320)
     asked = req()
     node = made.where(asked, 0)[1]
-    made.after(asked.write_outs[0], SATISFIED, S)
+    made.after(asked.attempts[0], SATISFIED, S)
     made.due.clear()
     assert made.wait(S) == (3 * S, [])
     _, [closing] = made.wait(4 * S)
@@ -361,7 +361,7 @@
     one, other = choice(nodes(4), proxies=3, peers=True), choice(nodes(4), proxies=3, peers=True)
     asked = req(give_up=S)
     node = one.where(asked, 0)[1]
-    one.after(asked.write_outs[0], OVERDUE, S)
+    one.after(asked.attempts[0], OVERDUE, S)
     one.due.clear()
     one.order.next_at = None
     said = [r.saying for r in one.wait(3 * S)[1] if r.saying]
@@ -376,12 +376,12 @@
     made = choice(nodes(4))
     quick, slow = req(), req()
     made.where(quick, 0)
-    made.after(quick.write_outs[0], ERRORED, S // 10)
-    assert quick.write_outs[0].node.errors[quick.method].failures == 1 and made.room.common == 1
+    made.after(quick.attempts[0], ERRORED, S // 10)
+    assert quick.attempts[0].node.errors[quick.method].failures == 1 and made.room.common == 1
     made.where(slow, 0)
-    before = slow.write_outs[0].node.failures
-    made.after(slow.write_outs[0], ERRORED, S * 6 // 10)
-    assert slow.write_outs[0].node.failures == before and made.room.common < 1
+    before = slow.attempts[0].node.failures
+    made.after(slow.attempts[0], ERRORED, S * 6 // 10)
+    assert slow.attempts[0].node.failures == before and made.room.common < 1
 
 
 def test_no_strain_closes_a_node_or_the_fleet_for_good():
@@ -420,7 +420,7 @@
         made = choice([*nodes(3), Node("origin", kind=4)], origin=origin, may_duplicate=False)
         asked = req()
         node = made.where(asked, 0)[1]
-        made.after(asked.write_outs[0], SATISFIED, S * 6 // 10)
+        made.after(asked.attempts[0], SATISFIED, S * 6 // 10)
         assert (node.share < 1 and made.room.common < 1) == less
 
 
@@ -447,7 +447,7 @@
     assert grown == [pytest.approx(part / 20) for part in (4, 1, 1)]
 
 
-def test_write_outs_that_were_out_together_are_one_jam():
+def test_attempts_that_were_out_together_are_one_jam():
     # Guards a node against being closed for seconds by the many that one full queue made late.
     room, node = Room(), Node("n", window=20.0)
     for sent in (100, 110, 120, 130):
@@ -468,7 +468,7 @@
     """A read that a cache has just missed: what is decided of it next."""
     asked = req(arrived=now, give_up=more.pop("give_up", 3 * S), **more)
     made.where(asked, now)
-    made.after(asked.write_outs[0], MISSED, now)
+    made.after(asked.attempts[0], MISSED, now)
     made.wait(now)
     return asked, made.where(asked, now)
 
@@ -477,25 +477,25 @@
     made, origin = aside()
     for place in range(12):  # a long way, and nothing else
         asked, answer = missed(made, place * S, key=place)
-        made.after(asked.write_outs[1], SATISFIED, place * S + S // 2)
+        made.after(asked.attempts[1], SATISFIED, place * S + S // 2)
     assert origin.window == Room.MOST
     asked, _ = missed(made, 20 * S)
-    made.after(asked.write_outs[1], SATISFIED, 22 * S)  # a budget and a half on top
+    made.after(asked.attempts[1], SATISFIED, 22 * S)  # a budget and a half on top
     assert origin.window <= 2
     for place in range(12):
         asked, _ = missed(made, (30 + place) * S, key=place)
-        made.after(asked.write_outs[1], SATISFIED, (30 + place) * S + S // 2)
+        made.after(asked.attempts[1], SATISFIED, (30 + place) * S + S // 2)
     assert origin.window >= 4
 
 
 def test_time_outs_shorter_than_the_way_to_the_origin_are_not_held_against_it():
     made, origin = aside()
     asked, _ = missed(made, 0)
-    made.after(asked.write_outs[1], SATISFIED, S * 9 // 10)
+    made.after(asked.attempts[1], SATISFIED, S * 9 // 10)
     write = req(write=True, arrived=S)
     made.where(write, S)
     before = origin.window
-    made.after(write.write_outs[0], OVERDUE, S + S * 9 // 10)
+    made.after(write.attempts[0], OVERDUE, S + S * 9 // 10)
     assert (origin.window, origin.share) == (before, 1)
 
 
@@ -506,7 +506,7 @@
     assert made.wait(S - 1)[1] == []
     assert made.wait(S)[1] == [asked] and made.where(asked, S) == (NACK, None, 5)  # at once, not at `until`
     asked.over = True
-    assert made.after(asked.write_outs[1], SATISFIED, S + 1) == ((DONE, None, 0), [])
+    assert made.after(asked.attempts[1], SATISFIED, S + 1) == ((DONE, None, 0), [])
     write = req(DEDUPLICATED, write=True, give_up=3 * S, window=9 * S)
     assert made.where(write, 0)[2] == S  # fills nothing
 
@@ -531,11 +531,11 @@
     for node in made.nodes.values():
         for _ in range(9 if node.zone in zones else 0):
             late = req(arrived=0)
-            write_out = WriteOut(late, node, 0, S)
-            late.write_outs.append(write_out)
+            attempt = Attempt(late, node, 0, S)
+            late.attempts.append(attempt)
             node.in_flight += 1
             made.in_flight += 1
-            made.after(write_out, SATISFIED, S * 9 // 10)
+            made.after(attempt, SATISFIED, S * 9 // 10)
         node.share, node.window = 1, 12
     made.room.common = 1
 
@@ -556,8 +556,8 @@
         asked = req(key=there, arrived=now)
         trials.append(made.where(asked, now)[1].zone)
         took = S * 9 // 10 if trials[-1] == "b" else 1000  # told at once, which does no harm here
-        asked.write_outs[0].sent = now - took
-        made.after(asked.write_outs[0], SATISFIED, now)
+        asked.attempts[0].sent = now - took
+        made.after(asked.attempts[0], SATISFIED, now)
     assert 2 <= trials.count("b") <= 6
     made.ways.ended("b", True)
     made.ways.ended("b", True)
@@ -573,9 +573,9 @@
         made = choice([Node(f"{zone}{i}", zone=zone) for zone in "ab" for i in range(8)], proxies=40)
         for node in list(made.nodes.values())[8:]:
             asked = req(arrived=0)
-            asked.write_outs.append(WriteOut(asked, node, 0, S))
+            asked.attempts.append(Attempt(asked, node, 0, S))
             node.in_flight += 1
-            made.after(asked.write_outs[0], outcome, S // 4)
+            made.after(asked.attempts[0], outcome, S // 4)
         made.ways.ended("a", True)
         made.ways.sent("b", S)
         assert made.ways.far("b", S) == (outcome != FULL)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -25,10 +25,10 @@
 
 
 def late_at_one_node(one, now):
-    """A write-out there runs out of time at this proxy."""
+    """An attempt there runs out of time at this proxy."""
     asked = req(arrived=now - S, give_up=2 * S)
     node = one.where(asked, now - S)[1]
-    one.after(asked.write_outs[0], OVERDUE, now)
+    one.after(asked.attempts[0], OVERDUE, now)
     one.due.clear()
     return node.name
 
@@ -49,7 +49,7 @@
         at = 3 * S * len(shares)  # met seldom
         asked = req(arrived=at)
         made.where(asked, at)
-        made.after(asked.write_outs[0], SATISFIED, at + spent)
+        made.after(asked.attempts[0], SATISFIED, at + spent)
         shares.append(made.placement.slots[0].share)
     assert shares[:3] == [1, 1, 1]  # one may be a miss
     assert 1 > shares[3] > shares[4]
@@ -61,7 +61,7 @@
     for at in range(0, S, S // 5):
         asked = req(arrived=at)
         one.where(asked, at)
-        one.after(asked.write_outs[0], SATISFIED, at + S * 9 // 10)
+        one.after(asked.attempts[0], SATISFIED, at + S * 9 // 10)
     assert node.share == 1
     late_at_one_node(other, 2 * S)
     for share, at in ((0.8, 2 * S), (0.8 * Room.FALL_SHARE, 4 * S)):  # heard from lately, and not
@@ -87,7 +87,7 @@
         for one in made:
             late_at_one_node(one, 2 * S)
         messages, words = map(sum, zip(*(pass_on(made, 2 * S + n * S // 20) for n in range(21)), strict=True))
-        assert messages == count * Hearsay.TO  # one round each: what ended was one write-out each
+        assert messages == count * Hearsay.TO  # one round each: what ended was one attempt each
         cost[count] = words / count
     assert cost[400] == cost[40] > 0
 
@@ -217,7 +217,7 @@
         one, other = fleet(2, 1)
         asked = req(arrived=0)
         one.where(asked, 0)
-        one.after(asked.write_outs[0], SATISFIED, spent, None, hit)
+        one.after(asked.attempts[0], SATISFIED, spent, None, hit)
         assert one.placement.slots[0].share == share
         pass_on([one, other], S)
         assert other.placement.slots[0].share == share
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -65,7 +65,7 @@
     assert 60 < picks(S + Live.AGE) < 140
 
 
-def test_own_write_outs_count_on_top_of_what_was_listed():
+def test_own_attempts_count_on_top_of_what_was_listed():
     live, node = Live(), nodes(1)[0]
     live.listed(node, 1.0, 0)
     node.in_flight = 3
@@ -100,7 +100,7 @@
         made = choice(listing(*[4.0] * 4), live=live)
         asked = req()
         first = made.where(asked, 0)[1]
-        made.after(asked.write_outs[0], FULL, 10)
+        made.after(asked.attempts[0], FULL, 10)
         # Where no loads are told it is what tells of a jam: 40 proxies fed one else.
         assert (made.room.common == 1) is (first.window == Room.START) is live
         assert first.share == (Room.FALL_ALL if live else Room.FALL_SHARE)
@@ -121,14 +121,14 @@
     assert made.pick(lucky(S), S) in set(made.placement.slots) - set(homes)
 
 
-def test_a_reads_last_write_out_goes_to_the_origin_where_that_is_asked_apart():
+def test_a_reads_last_attempt_goes_to_the_origin_where_that_is_asked_apart():
     # Guards against a miss that nothing can follow: two homes were full, the third may lack the key.
     made = choice([*nodes(6), Node("o", kind=1)], origin=1)
     asked = req()
     for at in (0, 10):
         node = made.where(asked, at)[1]
         assert node.kind == 0
-        made.after(asked.write_outs[-1], FULL, at)
+        made.after(asked.attempts[-1], FULL, at)
         made.wait(at)
     assert made.where(asked, 20)[1].name == "o"
 
@@ -173,7 +173,7 @@
     asked = req()
     node = made.where(asked, 0)[1]
     node.started = 1
-    made.after(asked.write_outs[0], FULL, 10)
+    made.after(asked.attempts[0], FULL, 10)
     assert node.share == Room.FALL_SHARE
 
 
@@ -182,7 +182,7 @@
     asked.method.tardy = 0.5
     node = made.where(asked, 0)[1]
     node.load, node.load_at = load, S
-    made.after(asked.write_outs[0], SATISFIED, 2 * S)
+    made.after(asked.attempts[0], SATISFIED, 2 * S)
     return node
 
 
@@ -221,7 +221,7 @@
     asked = req(write=True)
     made.where(asked, 0)
     before = origin.window
-    made.after(asked.write_outs[0], REFUSED, 10)
+    made.after(asked.attempts[0], REFUSED, 10)
     assert origin.window < before and origin.share < 1
 
 
@@ -243,7 +243,7 @@
     made.listed([Node(other.name, state=LEFT), Node(spare.name, state=LEFT)], False, 0)
     asked = req()
     assert made.where(asked, 0)[1] is only
-    made.after(asked.write_outs[0], FULL, 10)
+    made.after(asked.attempts[0], FULL, 10)
     made.wait(10)
     assert made.where(asked, 10)[1] in made.placement.homes(7, 6)[2:]
 
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -218,7 +218,7 @@
     os.close(run.fd)
 
 
-def test_sigterm_twice_and_with_a_write_out_that_no_node_answers(moment):
+def test_sigterm_twice_and_with_a_attempt_that_no_node_answers(moment):
     # The req that can't be repeated is waited for, to its own end, and answered once.
     node = Node("n0")
     made = moment(node)
@@ -252,7 +252,7 @@
     late = made.client()
     late.send(gets(1, b"late"))
     made.until(lambda: len(made.proxy.reqs) == 2)
-    assert made.turn(lambda: [len(held.req.write_outs) for held in made.proxy.reqs.values()]) == [1, 0]
+    assert made.turn(lambda: [len(held.req.attempts) for held in made.proxy.reqs.values()]) == [1, 0]
 
 
 def test_a_sighup_during_the_start_is_not_lost(tmp_path):
@@ -366,10 +366,10 @@
     assert asked.pauses == (750_000, 6_000_000)  # one service for all: its calls cost the fleet
 
 
-# Write-outs and connections to nodes.
+# Attempts and connections to nodes.
 
 
-def test_with_one_stream_a_connection_from_now_on_no_other_write_out_is_torn_down(moment):
+def test_with_one_stream_a_connection_from_now_on_no_other_attempt_is_torn_down(moment):
     # SIGHUP takes a connection's streams to one while it carries two: one client leaves, the other is a write
     # that can't be repeated and has nothing to do with it.
     node = Node("n0")
@@ -422,7 +422,7 @@
     assert made.turn(lambda: not made.proxy.sendings and not made.proxy.reqs)
 
 
-def test_a_write_out_that_waits_for_a_connection_is_let_go_when_its_node_drains(moment):
+def test_a_attempt_that_waits_for_a_connection_is_let_go_when_its_node_drains(moment):
     # The connection comes up only after the drain was told: nothing is written to it.
     node, other = Node("n0"), Node("n1")
     made = moment(node, other)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -527,7 +527,7 @@
     return asking, links
 
 
-def test_with_a_few_connections_up_write_outs_go_behind_others():
+def test_with_a_few_connections_up_attempts_go_behind_others():
     made = proxy(may_duplicate=True, streams_per_conn=100)
     asking, links = crowd(made)
     assert len(made.reactor.tcpClients) == 2 and sorted(len(one.out) for one in links) == [2, 3]
@@ -546,7 +546,7 @@
     assert outcomes == [SEVERED, RECALLED, RECALLED]  # one end, held against the node once
 
 
-def test_nothing_goes_behind_a_write_out_that_was_given_up():
+def test_nothing_goes_behind_a_attempt_that_was_given_up():
     # Guards against feeding a connection whose first answer may never come.
     made = proxy(may_duplicate=True, streams_per_conn=100)
     asking, links = crowd(made)
@@ -598,7 +598,7 @@
         assert b"$1\r\n2\r\n" not in node.transport.took()
 
 
-def test_a_copy_that_crosses_the_next_write_out_is_not_its_answer():
+def test_a_copy_that_crosses_the_next_attempt_is_not_its_answer():
     made = proxy(may_duplicate=True, streams_per_conn=100)
     asking, links = crowd(made)
     outcomes = outcomes_of(made)
@@ -627,7 +627,7 @@
         made.listed(entries(1, "DELETED", instanceId=f"x{number}"), False)
     made.listed(entries(2, "DRAINING"), False)
     made.listed(entries(2, "DELETED"), False)
-    assert [*made.choice.nodes] == [*made.nodes.places] == [busy.place.name]  # its write-out is still out
+    assert [*made.choice.nodes] == [*made.nodes.places] == [busy.place.name]  # its attempt is still out
     busy.dataReceived(hit())
     busy.connectionLost(Failure(ConnectionDone()))
     made.listed([], False)
@@ -635,7 +635,7 @@
 
 
 def test_the_first_break_of_a_kept_connection_is_not_held_against_its_node():
-    # Guards against taking a node out because connections kept for long end under the next write-out.
+    # Guards against taking a node out because connections kept for long end under the next attempt.
     made = proxy()
     asking, outcomes = client(made), outcomes_of(made)
     asking.dataReceived(get(b"1"))
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -11,7 +11,7 @@
 from ivystack.choice import Choice
 from ivystack.model import (
     DEDUPLICATED, DONE, ERRORED, FAIL, FULL, GO, MISSED, NACK, NON_RETRYABLE, OVERDUE, RECALLED, REFUSED,
-    RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, Method, Req, WriteOut,
+    RETRYABLE, SATISFIED, SEVERED, SUPERSEDED, Method, Req, Attempt,
 )  # fmt: skip
 from ivystack.net.front import Frame
 from ivystack.net.nodes import Sending
@@ -132,14 +132,14 @@
     def __init__(self, semantics, **more):
         self.made = proxy(1, run=once(streams_per_conn=10, may_duplicate=True, **more))
         self.method, self.ends = Method("mark", semantics, 2 * S, window=S), []
-        self.made.nodes.ended = lambda sending, outcome, value: self.ends.append((sending.write_out, outcome))
+        self.made.nodes.ended = lambda sending, outcome, value: self.ends.append((sending.attempt, outcome))
 
     def go(self, **more):
         now, fields = self.made.now(), b"c=mark,d=500"
-        write_out = WriteOut(Req(self.method, now, now + 2 * S), None, now, now + 2 * S, **more)
+        attempt = Attempt(Req(self.method, now, now + 2 * S), None, now, now + 2 * S, **more)
         frame = Frame([b"OBJ.GET", b"7f", b"1", fields], (9, 12))
-        self.made.nodes.send(Sending(write_out, frame), "n0", now + 2 * S)
-        return write_out
+        self.made.nodes.send(Sending(attempt, frame), "n0", now + 2 * S)
+        return attempt
 
     def said(self, wire, data):
         before = len(self.ends)
@@ -195,7 +195,7 @@
     of.go(latest=far)
     assert len(wire.out) == 2  # in so long a time it gets there, or is given up
     last = of.go(latest=near)
-    assert len(wire.out) == 2 and [s.write_out for s in of.made.nodes.places["n0"].waiting] == [last]
+    assert len(wire.out) == 2 and [s.attempt for s in of.made.nodes.places["n0"].waiting] == [last]
     pass_by(of.made, 1001)
     assert of.ends[-1] == (last, SUPERSEDED)
 
@@ -301,10 +301,10 @@
     counts = {"again": 0}
 
     def send(req, until):
-        write_out = req.write_outs[-1]
+        attempt = req.attempts[-1]
         wait = rng.choice((0, 0, rng.randrange(600 * MS)))
-        going.append([now + wait, rng.random(), "up", write_out, until])
-        counts["again"] += len(req.write_outs) > 1
+        going.append([now + wait, rng.random(), "up", attempt, until])
+        counts["again"] += len(req.attempts) > 1
 
     def carry(req, answer):
         word, _, when = answer
@@ -315,13 +315,13 @@
             if word == NACK:
                 strict.nacked(req)
 
-    def ended(write_out, outcome):
-        answer, off = made.after(write_out, outcome, now)
+    def ended(attempt, outcome):
+        answer, off = made.after(attempt, outcome, now)
         for one in off:
             going[:] = [event for event in going if event[3] is not one]
             one.outcome or made.after(one, decisions.RECALLED, now)
-        if not write_out.req.over:
-            carry(write_out.req, answer)
+        if not attempt.req.over:
+            carry(attempt.req, answer)
 
     for _ in range(40):
         req = Req(method, now, now + 2 * S, rng.getrandbits(40))
@@ -342,24 +342,24 @@
             now = max(now, at)
             if not going or going[0][0] > now:
                 continue
-            _, _, what, write_out, until = going.pop(0)
-            if write_out.outcome is not None:
+            _, _, what, attempt, until = going.pop(0)
+            if attempt.outcome is not None:
                 continue
             if what == "up":
                 if now >= until:
-                    ended(write_out, REFUSED)
-                elif keeps and now >= write_out.latest:
-                    ended(write_out, SUPERSEDED)
+                    ended(attempt, REFUSED)
+                elif keeps and now >= attempt.latest:
+                    ended(attempt, SUPERSEDED)
                 else:
-                    strict.reached(write_out.req, write_out.node, now)
+                    strict.reached(attempt.req, attempt.node, now)
                     outcome = rng.choice((SATISFIED, ERRORED, FULL, OVERDUE, SEVERED, SEVERED, SEVERED))
                     left = until - now
                     took = left if outcome == OVERDUE else rng.randrange(min(400 * MS, left) + 1)
                     if outcome == FULL:
-                        strict.turned_away(write_out.req, (now, write_out.node.zone, write_out.node.cell))
-                    going.append([now + took, rng.random(), outcome, write_out, until])
+                        strict.turned_away(attempt.req, (now, attempt.node.zone, attempt.node.cell))
+                    going.append([now + took, rng.random(), outcome, attempt, until])
             else:
-                ended(write_out, what)
+                ended(attempt, what)
         now += rng.randrange(S)
     return strict.broken, counts["again"]
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -213,7 +213,7 @@
     node.dataReceived(hit())
     asking.dataReceived(get(b"1", fields=b"c=read,d=900"))
     other.dataReceived(get(b"2", fields=b"c=read,d=900"))
-    assert [sending.write_out.req.key for sending in node.out] == [127, 127]
+    assert [sending.attempt.req.key for sending in node.out] == [127, 127]
     node.dataReceived(HEAD + LONG[:1000])
     made.nodes.LITTLE = 0
     asking.connectionLost(Failure(ConnectionDone()))
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -64,7 +64,7 @@
     assert asking.transport.took() == b"-ERR failed\r\n" and len(made.reactor.tcpClients) == before
 
 
-def test_fewer_write_outs_count_between_the_first_and_the_second():
+def test_fewer_attempts_count_between_the_first_and_the_second():
     for most, outs in ((3, 2), (1, 1)):
         made = proxy(3)
         asking = ask(made, b"1")
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -85,7 +85,7 @@
     assert min(swarm.served(3, 6).values()) > 0.85  # 0.42 where all their reqs go out
 
 
-def test_a_write_out_that_outlasts_patience_is_told_while_its_queue_still_grows():
+def test_a_attempt_that_outlasts_patience_is_told_while_its_queue_still_grows():
     made = choice(nodes(4), proxies=100, peers=True)
     asked = req()
     node = made.where(asked, 0)[1]
@@ -127,12 +127,12 @@
     asked = req()
     node = made.where(asked, 0)[1]
     keep = made.links.keep
-    asked.write_outs[0].fresh = True  # as the network part tells
-    made.after(asked.write_outs[0], FULL, 1000)
+    asked.attempts[0].fresh = True  # as the network part tells
+    made.after(asked.attempts[0], FULL, 1000)
     assert (node.share, made.room.common, made.hearsay.ended) == (1.0, 1.0, {})
     assert made.links.keep < keep
     made.wait(1000)
-    assert made.where(asked, 1000)[0] == GO and asked.write_outs[1].node is not node
+    assert made.where(asked, 1000)[0] == GO and asked.attempts[1].node is not node
     # Without one of our own there it is left alone for a while; one that is open still serves.
     made.links.idle.clear()
     assert all(made.pick(req(), 2000) is not node for _ in range(20))
@@ -144,9 +144,9 @@
     made = choice(nodes(4), proxies=100, peers=True)
     first, second = req(), req()
     made.where(first, 0)
-    made.after(first.write_outs[0], SATISFIED, 1000)
+    made.after(first.attempts[0], SATISFIED, 1000)
     node = made.where(second, 2000)[1]
-    made.after(second.write_outs[0], FULL, 3000)
+    made.after(second.attempts[0], FULL, 3000)
     assert node.share < 1.0 and node in made.hearsay.ended
 
 
