--- a/tests/moments.py
+++ b/tests/moments.py
@@ -114,7 +114,7 @@
         self.at = 1_000_000_000_000
         self.loop = Loop()
         run = run or told(**limits)
-        # An address that nothing calls from: a port that was free a moment ago is not taken by a call's own end.
+        # An address that nothing calls from: a port that was free just now is not taken by a call's own end.
         with socket.create_server(("127.0.0.77", 0)) as free:
             run.listen = free.getsockname()
         self.discovery = discovery or Agent()
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -422,7 +422,7 @@
     assert made.turn(lambda: not made.proxy.sendings and not made.proxy.reqs)
 
 
-def test_a_attempt_that_waits_for_a_connection_is_let_go_when_its_node_drains(moment):
+def test_an_attempt_that_waits_for_a_connection_is_let_go_when_its_node_drains(moment):
     # The connection comes up only after the drain was told: nothing is written to it.
     node, other = Node("n0"), Node("n1")
     made = moment(node, other)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -546,7 +546,7 @@
     assert outcomes == [SEVERED, RECALLED, RECALLED]  # one end, held against the node once
 
 
-def test_nothing_goes_behind_a_attempt_that_was_given_up():
+def test_nothing_goes_behind_an_attempt_that_was_given_up():
     # Guards against feeding a connection whose first answer may never come.
     made = proxy(may_duplicate=True, streams_per_conn=100)
     asking, links = crowd(made)
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -85,7 +85,7 @@
     assert min(swarm.served(3, 6).values()) > 0.85  # 0.42 where all their reqs go out
 
 
-def test_a_attempt_that_outlasts_patience_is_told_while_its_queue_still_grows():
+def test_an_attempt_that_outlasts_patience_is_told_while_its_queue_still_grows():
     made = choice(nodes(4), proxies=100, peers=True)
     asked = req()
     node = made.where(asked, 0)[1]
