The log names the requests a connection's end left open, accepts that fail, and on wish each step

The line of a client's end now tells `ids=`, `begun=1`, `unheard=N` and `rested_ms=N` where they apply; failed accepts are logged; LB_TRACE=1 logs each step of each request with its id.

--- a/ivystack/__main__.py
+++ b/ivystack/__main__.py
@@ -18,6 +18,9 @@
 from .settings import FaultError, load
 
 
+ACCEPTING = "twisted.internet.tcp.Port"  # the library's name for what it logs of accepts that fail
+
+
 def main() -> int:
     try:
         run = load(os.environ)
@@ -91,10 +94,14 @@
 
 
 def tell(event: dict) -> None:
-    """Twisted's own troubles, among them what a connection's callback raised."""
+    """Twisted's own troubles, among them what a connection's callback raised, and accepts that failed."""
+    from twisted.logger import formatEvent
+
     if event.get("isError"):
         failure = event.get("failure")
         logger.error("twisted: {}", failure.getTraceback() if failure else event.get("message"))
+    elif event.get("log_namespace") == ACCEPTING:
+        logger.warning("accept: {}", formatEvent(event))
 
 
 if __name__ == "__main__":
--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -18,6 +18,7 @@
 from .relay import Relay, Upload
 from .resp import LONGEST, PARTS, VALUE, Given, Resp, bulk
 from .tables import Slots
+from .trace import trace
 
 PONG, OK, BUSY, FAILED = b"+PONG\r\n", b"+OK\r\n", b"-BUSY\r\n", b"-ERR failed\r\n"
 DRAINS = b"-ERR draining\r\n"
@@ -28,10 +29,11 @@
 class Frame:
     """A command as it came, taken apart only around the figure that is rewritten."""
 
-    __slots__ = ("before", "fields", "after", "value")
+    __slots__ = ("ident", "before", "fields", "after", "value")
 
     def __init__(self, args: list[bytes], figure: tuple[int, int], size: int = 0):
         """`size` is that of a value which goes out in pieces behind this."""
+        self.ident = args[2]  # the request's id, for the log
         self.before = b"*%d\r\n" % (len(args) + bool(size)) + b"".join(map(bulk, args[:3]))
         self.fields, self.after = args[3][: figure[0]], args[3][figure[1] :]
         self.value = b"$%d\r\n" % size if size else bulk(args[4]) if len(args) > 4 else b""
@@ -77,6 +79,7 @@
     # which can't be served wait for a word at most.
     WHOLE = 2_500_000
     PATIENCE = 10_000_000  # for a client that does not read its answers; our longest deadlines are below it
+    IDS_LOGGED = 8  # ids of open requests that the line of a connection's end names
 
     def __init__(self, front: Front):
         super().__init__()
@@ -259,6 +262,20 @@
         self.transport.unregisterProducer()  # a paused one would keep the transport from closing
         self.close(code)
 
+    def circumstances(self, still: list[bytes | None]) -> str:
+        """What the log tells of its end beside the code: the requests left open, and what was left unread."""
+        text = ""
+        if still:
+            ids = [ident.decode("latin-1") for ident in still[: self.IDS_LOGGED] if ident]
+            text += f" ids={','.join(ids)}"
+        if self.half_read:
+            text += " begun=1"
+        if self.unheard:
+            text += f" unheard={self.unheard}"
+        if self.asked and not still:
+            text += f" rested_ms={(self.front.now() - self.since) // 1000}"
+        return text
+
     def watch_reading(self) -> None:
         if self.stuck is None:
             self.stuck = self.front.deadlines.at(self.front.now() + self.PATIENCE, self.drop, "slow-reader")
@@ -402,11 +419,15 @@
                 fault = BUSY
         if fault:
             place[0] = fault
+            if trace.enabled and len(args) > 2:
+                trace.step(args[2], "not-taken", client=client.slot, answer=fault[:40])
             if upload is not None:
                 upload.discard()
             return
         self.fresh.pop(client, None)
         ident = args[2]
+        if trace.enabled:
+            trace.step(ident, "taken", client=client.slot, method=method.name, wait_ms=int(wait[1]))
         self.ids.add(ident)
         place[2] = len(args[-1])
         self.bytes += place[2]
@@ -444,8 +465,14 @@
         self.idle.pop(client, None)
         self.fresh.pop(client, None)
         self.clients.drop(client.slot)
-        still = sum(place[0] is None for place in client.owed)
-        logger.info("end client={} asked={} open={} code={}", client.slot, client.asked, still, code)
+        still = [place[3] for place in client.owed if place[0] is None]
+        logger.info(
+            "end client={} asked={} open={} code={}{}", client.slot, client.asked, len(still), code,
+            client.circumstances(still),
+        )  # fmt: skip
+        if trace.enabled:
+            for ident in still:
+                trace.step(ident, "client-gone", client=client.slot, code=code)
         self.let_go(client)
 
     def let_go(self, client: Client) -> None:
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -19,6 +19,7 @@
 from . import tables
 from .relay import Relay, Upload
 from .resp import LONGEST, VALUE, Given, Resp
+from .trace import trace
 
 
 class Sending:
@@ -288,6 +289,8 @@
         link.out.append(sending)
         link.carried += 1
         rest = max(1, (sending.attempt.until - self.now()) // 1000)
+        if trace.enabled:
+            trace.step(sending.frame.ident, "sent", node=link.place.name, link=link.slot, told_ms=rest)
         if sending.upload is None:
             return link.transport.writeSequence(sending.frame.telling(rest))
         link.transport.writeSequence(sending.frame.telling(sending.upload.rest))
@@ -334,6 +337,9 @@
         if sending.over:
             return
         sending.over = True
+        if trace.enabled:
+            link = sending.link.slot if sending.link else "none"
+            trace.step(sending.frame.ident, "ended", node=sending.place.name, link=link, outcome=outcome)
         for deadline in sending.until:
             self.deadlines.drop(deadline)
         if sending.link is None:
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -26,6 +26,7 @@
 from .relay import Upload
 from .resp import SHORT
 from .tables import Clock, Deadlines, Slots
+from .trace import trace
 
 STATES = {"SERVING": READY, "DRAINING": LEAVING, "DELETED": LEFT}
 BROKEN_PAUSE = 50_000  # before decisions that failed are asked again
@@ -334,9 +335,20 @@
         """The req's one final answer: satisfied with a value, nacked for so many milliseconds, or failed."""
         held = self.held.get(req)
         if held is not None:
+            if trace.enabled:
+                self.trace_answer(held, word, what)
             self.close(held)
             held.reply(word, what)
 
+    def trace_answer(self, held: Held, word: str, what) -> None:
+        """Logs a request's final answer, and for a refusal or failure what had become of its attempts."""
+        attempts = held.req.attempts
+        ends = ",".join(str(attempt.outcome or "out") for attempt in attempts) or "none"
+        fields = dict(word=word, after_ms=(self.now() - held.req.arrived) // 1000, attempts=ends)
+        if word == NACK:
+            fields["retry_after_ms"] = what
+        trace.step(held.frame.ident, "answered", **fields)
+
     # Decisions.
 
     def ask(self, req: Req, now: int) -> None:
@@ -359,6 +371,9 @@
             attempt, held = req.attempts[-1], self.held[req]
             self.deadlines.drop(held.place_by)
             sending = self.sendings[attempt] = Sending(attempt, held.frame, held.upload)
+            if trace.enabled:
+                number, left = len(req.attempts), (when - self.now()) // 1000
+                trace.step(held.frame.ident, "attempt", number=number, node=node.name, left_ms=left)
             self.nodes.send(sending, node.name, when)
         elif word == WAIT:
             self.seek(self.held.get(req))
--- a/ivystack/net/resp.py
+++ b/ivystack/net/resp.py
@@ -70,6 +70,8 @@
         self.taker = None  # what takes the pieces of a long value
         self.size = 0  # of that value
         self.deaf = False  # nothing that still comes is read
+        self.unheard = 0  # bytes that came all the same, for the log
+        self.half_read = False  # a value had begun when it was made deaf, for the log
 
     # What a side does.
 
@@ -89,6 +91,8 @@
             data = self.swift(data)
         if not self.deaf:
             super().dataReceived(data)
+        else:
+            self.unheard += len(data)
 
     def swift(self, data: bytes) -> bytes:
         """Takes whole arrays of short bulk strings off the front, as nearly all that comes is.  The rest is
@@ -123,6 +127,8 @@
         return data[at:] if at else data
 
     def deafen(self) -> None:
+        if not self.deaf:
+            self.half_read = not self.between()
         self.deaf = self.paused = True
         self.clearLineBuffer()
 
