Rig: proxies held up for 0.15 s, system calls that fail, few descriptors; what is a crossing

New fault kinds `pause` (SIGSTOP for up to 0.15 s, excuses nothing) and `syscall` (accept, recv, send, connect fail with a named error for part of the calls; a shim in Python that the process loads, as for its clock). `fleet.sockets` bounds descriptors, `load.reuse` says which resting connection a client uses next.

The checker excused every request on a kept connection that ended unanswered.

--- a/ivystack/load/clients.py
+++ b/ivystack/load/clients.py
@@ -118,14 +118,16 @@
 
     def __init__(
         self, reactor, now, rng: Random, places: dict[str, tuple[str, int]], classes: list[Class],
-        refused: set | None = None,
+        refused: set | None = None, oldest_first: bool = False,
     ):  # fmt: skip
         """`places` are the proxies' addresses as clients reach them, in the order that arrivals number.
-        `refused` holds our side's address of each connection that only a relay has accepted."""
+        `refused` holds our side's address of each connection that only a relay has accepted.  Of resting
+        connections the one used last is used next, or with `oldest_first` the one that has rested longest."""
         self.reactor, self.now, self.rng = reactor, now, rng
         self.places, self.names = places, [*places]
         self.classes = {one.name: one for one in classes}
         self.refused = refused if refused is not None else set()
+        self.oldest_first = oldest_first
         self.idle: dict[str, deque[Link]] = {name: deque() for name in places}
         self.busy: dict[Link, None] = {}
         self.reqs: list[Asked] = []
@@ -158,7 +160,7 @@
     def send(self, asked: Asked, proxy: str, fresh: bool = False) -> None:
         idle = self.idle[proxy]
         if idle and not fresh:
-            return self.write(idle.pop(), asked)
+            return self.write(idle.popleft() if self.oldest_first else idle.pop(), asked)
         host, port = self.places[proxy]
         self.reactor.connectTCP(host, port, Opening(self, proxy, asked), timeout=0.5)
 
--- a/ivystack/rig/check.py
+++ b/ivystack/rig/check.py
@@ -76,7 +76,8 @@
 def one_answer(tries: list[Try], ledger: Ledger, excuses: list[Excuse], terms: Terms) -> list[Breach]:
     """Rule 1: each accepted req gets exactly one final answer in time, nothing after it.
 
-    One that crossed the end of a kept connection was not accepted, unless a node had it from that proxy.
+    One that crossed the end of a kept connection was not accepted, unless a node had it from that proxy.  It
+    did not cross the end if it had lain there for longer than `late`: the proxy had that time to read it.
     """
     found, reached = [], {(taken.proxy, taken.ident) for taken in ledger.taken}
     for one in tries:
@@ -86,9 +87,12 @@
         if len(one.answers) > 1:
             when, _, text = one.answers[1]
             found.append(Breach("one answer", when, name, f"{one.proxy} answered again: {text[:40]!r}"))
-        unread = one.crossed and (one.proxy, one.ident) not in reached
+        crossed = one.crossed and one.ended is not None and one.ended - one.at <= terms.late
+        unread = crossed and (one.proxy, one.ident) not in reached
         if not one.answers and not unread and not excused(excuses, one.proxy, one.at, late):
-            how = "its connection ended" if one.ended is not None else "never came"
+            how = "never came"
+            if one.ended is not None:
+                how = f"its connection ended after {(one.ended - one.at) // 1000} ms"
             found.append(Breach("one answer", one.ended or late, name, f"{one.proxy}: no answer, {how}"))
         for when, kind, text in one.answers[:1]:
             if when > late and not excused(excuses, one.proxy, one.at, when):
--- a/ivystack/rig/faults.py
+++ b/ivystack/rig/faults.py
@@ -138,6 +138,14 @@
             process.stop()
             self.mark(name, word, undo, {"proxy": name}, 1.0)
             undo.append((process.go_on,))
+        elif fault.kind == "pause":  # excuses nothing: the terms name it as what a proxy has to bear
+            process.stop()
+            self.mark(name, word, undo)
+            undo.append((process.go_on,))
+        elif fault.kind == "syscall":  # nor does this: nothing is lost by such a failure itself
+            process.fail_call(fault.call, fault.error, fault.part)
+            self.mark(name, f"{word} {fault.call} {fault.error}", undo)
+            undo.append((process.fail_call, fault.call, fault.error, 0.0))
         elif fault.kind == "beside":
             self.beside(process, undo)
         elif fault.kind == "slow":
--- a/ivystack/rig/play.py
+++ b/ivystack/rig/play.py
@@ -182,10 +182,11 @@
         }
         for process in self.processes.values():
             process.program = self.program or process.program
+            process.sockets = fleet.sockets
         self.record.processes = [*self.processes.values()]
         self.clients = Clients(
             self.reactor, self.now, Random(self.rng.getrandbits(64)), self.to_proxies, CLASSES,
-            self.hub.refused,
+            self.hub.refused, self.scenario.load.reuse == "oldest",
         )
         self.arrivals = drawn(
             Random(self.rng.getrandbits(64)), self.scenario.seconds, self.scenario.load.rate,
@@ -223,7 +224,7 @@
             "name": name, "listen": "{}:{}".format(*self.listens[name]),
             "discovery": "{}:{}".format(*self.to_discovery[name]), "seed": f"{self.rng.getrandbits(32):08x}",
             "admin_addr": "{}:{}".format(*self.admins[name]), "settings": settings(self.scenario, number),
-            "limits": {"sockets": 1024, "memory_mb": 192},
+            "limits": {"sockets": self.scenario.fleet.sockets, "memory_mb": 192},
         }  # fmt: skip
         if self.posts:
             made["peer_listen"] = "{}:{}".format(*self.talks[name])
--- a/ivystack/rig/processes.py
+++ b/ivystack/rig/processes.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import os
 import resource
@@ -17,8 +18,10 @@
 
 import ivystack
 
+from .shim.sitecustomize import CALLS, FAULT
+
 PROGRAM = Path(ivystack.__file__).parent.parent  # the folder that holds the package
-CLOCK = Path(__file__).parent / "clock"
+SHIM = Path(__file__).parent / "shim"  # loaded by each process: its wall clock, system calls that fail
 PERIOD = 0.1  # seconds: of a slow process's stops
 FULL = 4096  # bytes that a file may have where the directory is full
 
@@ -36,6 +39,9 @@
             one.mkdir(parents=True, exist_ok=True)
         self.clock = folder / "clock"
         self.clock.write_bytes(bytes(8))
+        self.calls = folder / "calls"
+        self.calls.write_bytes(bytes(FAULT.size * len(CALLS)))
+        self.sockets: int | None = None  # file descriptors that it may hold; None: as many as we may
         self.log = folder / "log"
         self.program = PROGRAM
         self.running: subprocess.Popen | None = None
@@ -56,7 +62,8 @@
         path.write_text(json.dumps(config))
         environ = os.environ | {
             "LB_CONFIG": str(path), "LB_NAME": self.name, "TMPDIR": str(self.folder / "tmp"),
-            "IVYSTACK_RIG_CLOCK": str(self.clock), "PYTHONPATH": f"{CLOCK}{os.pathsep}{self.program}",
+            "IVYSTACK_RIG_CLOCK": str(self.clock), "IVYSTACK_RIG_CALLS": str(self.calls),
+            "PYTHONPATH": f"{SHIM}{os.pathsep}{self.program}",
         } | self.environ  # fmt: skip
         for key in ("LB_LISTEN", "LB_DISCOVERY", "LB_ADMIN_ADDR", "LB_FD"):
             environ.pop(key, None)
@@ -67,6 +74,8 @@
             )  # fmt: skip
         if directory == "full":
             resource.prlimit(self.running.pid, resource.RLIMIT_FSIZE, (FULL, FULL))
+        if self.sockets is not None:
+            resource.prlimit(self.running.pid, resource.RLIMIT_NOFILE, (self.sockets, self.sockets))
         self.wanted, self.stopped, self.duty = True, False, 0.0
         self.note("start" if directory == "kept" else f"start directory={directory}")
 
@@ -98,6 +107,14 @@
             file.write(struct.pack("<q", int(hours * 3_600_000_000_000)))
         self.note(f"clock {hours:+g} h")
 
+    def fail_call(self, call: str, error: str, part: float) -> None:
+        """That part of such calls fails with that error from now on; none does where `part` is 0."""
+        number = getattr(errno, error) if part else 0
+        with open(self.calls, "r+b") as file:
+            file.seek(FAULT.size * CALLS.index(call))
+            file.write(FAULT.pack(number, round(part * 1_000_000)))
+        self.note(f"{call} {error} {part:g}")
+
     def signal(self, number: int) -> bool:
         if self.running is None or self.running.poll() is not None:
             return False
--- a/ivystack/rig/scenario.py
+++ b/ivystack/rig/scenario.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import errno
 import tomllib
 from fnmatch import fnmatch
 from importlib import resources
@@ -14,6 +15,8 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from .shim.sitecustomize import CALLS
+
 LEADER, HOLDER, TRIER = "leader", "holder", "trier"  # of the group; of slot-order; of node-trials
 AIMED = {LEADER, HOLDER, TRIER}  # known when it comes to it
 
@@ -21,7 +24,7 @@
 Positive = Annotated[float, Meta(gt=0)]
 Seconds = Annotated[float, Meta(ge=0)]
 
-PROCESS = ("kill", "restart", "stop", "slow", "clock", "beside")
+PROCESS = ("kill", "restart", "stop", "pause", "slow", "clock", "syscall", "beside")
 NODE = ("node-die", "node-hang", "node-slow", "node-fail", "node-drain", "node-spoil", "origin-slow")
 LINK = ("cut", "hole", "freeze", "delay", "loss", "twice", "rate", "reset", "half-open")
 LISTS = ("list-silent", "list-refuses")
@@ -30,6 +33,7 @@
 FILES = ("members",)  # of the consensus group, by a new operators' file
 
 
+PAUSE = 0.15  # seconds for which a proxy may be held up and still owes all that it owes
 MOST = 1024  # proxies, and nodes: what a machine bears is less, and said before the start
 
 
@@ -42,6 +46,7 @@
     nodes: Annotated[int, Meta(ge=1, le=MOST)] = 4
     zones: Annotated[int, Meta(ge=1, le=8)] = 1
     peers: bool = True  # proxies may talk to each other
+    sockets: Annotated[int, Meta(ge=64)] = 1024  # file descriptors of a proxy
     group: Annotated[int, Meta(ge=0, le=7)] = 0  # proxies of the consensus group; 0: none
     cores: Annotated[int, Meta(ge=1)] = 4  # of a node
     service: Positive = 0.004  # seconds that a command holds one
@@ -59,6 +64,7 @@
     read: Part = 0.8
     put: Part = 0.1  # deduplicated writes, with a mark
     pay: Part = 0.1  # non-retryable ones
+    reuse: Literal["newest", "oldest"] = "newest"  # which of a client's resting connections is used next
     window: Annotated[float, Meta(ge=0, le=10)] = 0.0  # seconds that repeats of `put` are dropped; 0: 10
     worth: dict[Literal["read", "put", "pay"], Positive] = {}  # their criticality, 1 where it is not said
 
@@ -75,8 +81,10 @@
     directory: Literal["kept", "gone", "old", "full", "unwritable"] = "kept"  # kill and restart
     duty: Annotated[float, Meta(gt=0, lt=1)] = 0.2  # slow: the part of the time that it runs
     hours: float = 0.0  # clock
+    call: Literal[CALLS] = "accept"  # type: ignore[valid-type]  # syscall: which fails
+    error: str = "EMFILE"  # syscall: with which error
     factor: Positive = 10.0  # node-slow, origin-slow
-    part: Part = 0.5  # node-fail, loss, twice, leave
+    part: Part = 0.5  # node-fail, loss, twice, leave, syscall
     how: Literal["twice", "noise", "break"] = "break"  # node-spoil
     ms: Seconds = 50.0  # delay
     jitter_ms: Seconds = 0.0
@@ -165,6 +173,10 @@
                 raise ScenarioError(f"{name}: `{key}.who`: there is no leader of such")
             if not found(fault.who, known, f"{name}: {key}.who"):
                 raise ScenarioError(f"{name}: `{key}.who`: missing")
+        if fault.kind == "pause" and (fault.span is None or fault.span > PAUSE):
+            raise ScenarioError(f"{name}: `{key}.for`: wanted {PAUSE:g} s at most, got {fault.span}")
+        if fault.kind == "syscall" and not hasattr(errno, fault.error):
+            raise ScenarioError(f"{name}: `{key}.error`: no such error: {fault.error}")
         if fault.kind in FILES and len(found(fault.who, proxies, key)) not in (3, 5, 7):
             raise ScenarioError(f"{name}: `{key}.who`: a group has 3, 5 or 7 members")
         if fault.kind in (*PEER, "beside") and not made.fleet.group:
