--- /dev/null
+++ b/tests/test_close.py
@@ -0,0 +1,234 @@
+"""Closing a client's connection never costs a request that had reached this machine before (incident 47).
+
+Each case forces the order on real connections: in one turn of the reactor the request arrives in the kernel,
+and then, before anything is read, the proxy comes to close that connection.  A process that was held up meets
+this order whenever it goes on.
+"""
+
+import errno
+import os
+import socket
+
+import pytest
+from helpers import hit
+from moments import Moment, Node, gets
+from test_rig import ivy
+
+from ivystack.net.front import Client, Front
+from ivystack.net.resp import command
+
+WAITS = b"c=read,t=t,d=60000"
+
+
+class Resting:
+    """A proxy with one node, and a client whose connection rests: after an answer, or new and silent."""
+
+    def __init__(self, answered: bool):
+        self.node = Node("n0")
+        self.moment = Moment().start(self.node)
+        self.proxy, self.front = self.moment.proxy, self.moment.proxy.front
+        self.asking = self.moment.client()
+        self.to_node = None
+        self.moment.until(lambda: self.front.clients)
+        (self.ours,) = self.moment.turn(lambda: [*self.front.clients.values()])
+        if answered:
+            self.asking.send(gets(1, b"first"))
+            self.answer()
+            assert self.asking.take() == b"v"
+
+    def answer(self) -> None:
+        """The node gives the next request its value."""
+        if self.to_node is None:
+            self.to_node = self.node.accept()
+        self.to_node.take()
+        self.to_node.send(hit())
+
+    def arrives(self, close, *values, data: bytes = gets(1, b"late")) -> None:
+        """In one turn: the bytes are in the kernel, unread, and then `close` is called."""
+
+        def both() -> None:
+            self.asking.send(data)
+            close(*values)
+
+        self.moment.turn(both)
+
+    def passes(self, microseconds: int) -> None:
+        """What the clock calls for once so much time has passed, in the turn that this is called in."""
+        self.moment.at += microseconds
+        self.proxy.deadlines.fire()
+
+    def served(self) -> str:
+        """Whether the request gets the value made for it; what became of it otherwise."""
+        self.moment.until(lambda: self.proxy.reqs or self.ours not in self.front.clients.values())
+        if not self.moment.turn(lambda: bool(self.proxy.reqs)):
+            return f"closed, code={self.ours.code}"
+        self.answer()
+        took = self.asking.take()
+        return "served" if took == b"v" else f"got {took!r}"
+
+
+def idle_beyond_the_bound():
+    case = Resting(answered=True)
+    case.front.most = 1
+    case.moment.pass_by(Front.SOON + 1)
+    case.arrives(lambda: case.front.tidy(case.proxy.now()))
+    return case
+
+
+def no_room_after_an_answer():
+    case = Resting(answered=True)
+    case.front.most = 1
+    case.moment.pass_by(Front.YOUNG + 1)
+    case.arrives(lambda: case.front.buildProtocol(None).makeConnection(Silent()))
+    return case
+
+
+def no_room_before_the_first_request():
+    case = Resting(answered=False)
+    case.front.most = 1
+    case.moment.pass_by(Front.YOUNG + 1)
+    case.arrives(lambda: case.front.buildProtocol(None).makeConnection(Silent()))
+    return case
+
+
+def silent_since_it_connected():
+    case = Resting(answered=False)
+    case.arrives(case.passes, Client.WHOLE)
+    return case
+
+
+def half_a_command_whose_rest_is_there():
+    case = Resting(answered=False)
+    case.asking.send(gets(1, b"late")[:30])
+    case.moment.until(lambda: not case.ours.between())
+    case.arrives(case.passes, Client.WHOLE, data=gets(1, b"late")[30:])
+    return case
+
+
+def half_a_command_on_an_idle_connection():
+    case = Resting(answered=True)
+    case.front.most = 1
+    case.asking.send(gets(1, b"late")[:30])
+    case.moment.until(lambda: not case.ours.between())
+    case.moment.pass_by(Front.SOON + 1)
+    case.arrives(lambda: case.front.tidy(case.proxy.now()), data=gets(1, b"late")[30:])
+    return case
+
+
+def drained_while_idle():
+    case = Resting(answered=True)
+    case.arrives(case.front.part, [case.ours], False, "drained")
+    return case
+
+
+def halves_given_up_in_a_drain():
+    case = Resting(answered=True)
+    case.asking.send(gets(1, b"late")[:30])
+    case.moment.until(lambda: not case.ours.between())
+    case.arrives(case.front.part, [case.ours], True, "drained", data=gets(1, b"late")[30:])
+    return case
+
+
+def drained_with_its_answer():
+    """The next request was sent before the answer to this one goes out, and the end with it."""
+    case = Resting(answered=False)
+    case.asking.send(gets(1, b"first"))
+    case.to_node = case.node.accept()
+    case.to_node.take()
+    case.moment.turn(case.proxy.drain)
+
+    def answered() -> None:
+        (link,) = case.proxy.nodes.links.values()
+        link.dataReceived(hit(b"first"))
+
+    case.arrives(answered)
+    assert case.asking.take() == b"first"
+    return case
+
+
+class Silent:
+    """The transport of a client that says nothing; nothing is made of it here."""
+
+    connected = disconnecting = False
+
+    def setTcpNoDelay(self, on):  # noqa: N802
+        pass
+
+    def registerProducer(self, producer, streaming):  # noqa: N802
+        pass
+
+    def abortConnection(self):  # noqa: N802
+        pass
+
+
+CASES = [
+    idle_beyond_the_bound, no_room_after_an_answer, no_room_before_the_first_request,
+    silent_since_it_connected, half_a_command_whose_rest_is_there,
+    half_a_command_on_an_idle_connection, drained_while_idle, halves_given_up_in_a_drain,
+    drained_with_its_answer,
+]  # fmt: skip
+
+
+def test_a_request_that_lies_unread_when_its_connection_is_closed_is_served():
+    found = {}
+    for make in CASES:
+        case = make()
+        try:
+            found[make.__name__] = case.served()
+        finally:
+            case.moment.stop()
+    assert {name: how for name, how in found.items() if how != "served"} == {}
+
+
+MOMENTARY = {
+    "accept": ["EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "ECONNABORTED", "EPROTO", "EPERM", "EHOSTUNREACH"],
+    "recv": ["ENOMEM", "ENOBUFS", "EINTR"],
+    "send": ["ENOMEM", "ENOBUFS", "EINTR"],
+}
+
+
+def test_a_call_that_fails_for_a_moment_costs_no_request(monkeypatch):
+    failed = {}
+    for call, errors in MOMENTARY.items():
+        for error in errors:
+            failed[call, error] = answer_while_failing(monkeypatch, call, error)
+    assert {case: how for case, how in failed.items() if how != [b"v"] * 2} == {}
+
+
+def answer_while_failing(monkeypatch, call: str, error: str) -> list:
+    """Two clients' answers while three of such calls fail on the proxy's side of clients' connections."""
+    node = Node("n0")
+    made = Moment().start(node)
+    left, true_call = [3], getattr(socket.socket, call)
+
+    def failing(self, *values):
+        if left[0] and self.getsockname() == made.run.listen:
+            left[0] -= 1
+            raise OSError(getattr(errno, error), os.strerror(getattr(errno, error)))
+        return true_call(self, *values)
+
+    monkeypatch.setattr(socket.socket, call, failing)
+    try:
+        clients = [made.client(), made.client()]
+        for number, one in enumerate(clients):
+            one.send(command(b"OBJ.GET", b"7f", b"%d" % number, WAITS))
+        for _ in range(500 if call == "accept" else 0):  # the proxy may rest after each, so time has to pass
+            if left[0]:
+                made.pass_by(20_000)
+        for _ in clients:
+            to_node = node.accept()
+            if to_node.take() is None:
+                return ["no request"]
+            to_node.send(hit())
+        return [one.take() for one in clients]
+    except (TimeoutError, AssertionError) as fault:
+        return [repr(fault)]
+    finally:
+        monkeypatch.undo()
+        made.stop()
+
+
+@pytest.mark.parametrize("scene", ["held-up"])
+def test_proxies_that_are_held_up_again_and_again_lose_no_request(scene):
+    code, told, _ = ivy("rig", "play", scene, "--seconds", "7", "--quiet")
+    assert code == 0, told
