A client's connection ends only after a last look at what has come; calls that fail once end none

Now all of them go through Client.retire, and the transport asks once more at the very end (net/listener.py): all that was written is out, then recv, then the end, with nothing between. What comes is served, and the connection stays. Timers for half a command read before they judge.

--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -102,19 +102,20 @@
         self.since = self.heard = self.front.now()
         self.half = self.front.deadlines.at(self.since + self.WHOLE, self.half_said)
         self.front.fresh[self] = None
-        self.front.make_room(self)
+        self.front.make_room()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self.reading = True
         super().dataReceived(data)
         self.reading = False
         if self.front.draining and self.done():
-            return self.leave(self.front.draining)
+            return self.retire(self.front.draining)
         if self.deaf or self.paused or self.between():
             self.front.deadlines.drop(self.half)
             self.half = None
             return
         self.heard = self.front.now()
+        self.front.idle.pop(self, None)  # a command has begun: no longer at rest
         if self in self.front.fresh:
             self.front.fresh.move_to_end(self)
         if self.half is None or self.upload is not None:  # of a long write each piece has that time
@@ -122,11 +123,16 @@
             self.half = self.front.deadlines.at(self.heard + self.WHOLE, self.half_said)
 
     def half_said(self) -> None:
-        """Guards the descriptors against clients that say nothing, or half a command and no more."""
+        """Guards the descriptors against clients that say nothing, or half a command and no more.  What they
+        have said by now may lie unread: a process that was held up finds its timers due first."""
+        self.half = None
+        self.transport.read_now()
+        if self.deaf or (self.upload is not None and self.half is not None):  # a piece of a long write came
+            return
         if not self.between():
             self.malformed("half a command")
-        elif not self.owed:
-            self.leave("silent")
+        elif not self.asked:
+            self.retire("silent")
 
     def received(self, args) -> None:
         self.front.idle.pop(self, None)
@@ -198,9 +204,9 @@
         if not self.owed and self.transport.connected:
             if self.deaf:
                 self.leave("stopping")
-            elif self.asked:
+            elif self.asked and self not in self.front.retiring:
                 if self.front.draining and self.done():
-                    return self.leave(self.front.draining)  # answer and end go out together
+                    return self.retire(self.front.draining)  # answer and end go out together
                 self.front.fresh.pop(self, None)
                 self.since = self.front.now()
                 self.front.idle[self] = None
@@ -253,8 +259,36 @@
         self.front.deadlines.drop(self.half)
         self.half = None
 
+    def retire(self, code: str, halves: bool = False) -> None:
+        """Closes a connection at rest once all that was written is out, unless a request has come by then:
+        that one is served.  `halves`: also one on which half a command has come."""
+        if self.deaf or self in self.front.retiring:
+            return
+        self.front.fresh.pop(self, None)
+        self.front.idle.pop(self, None)
+        self.front.retiring[self] = halves
+        self.watch_reading()
+        self.transport.unregisterProducer()  # a paused one would keep the transport from closing
+        self.close(code)
+
+    def may_end(self) -> bool:
+        """The transport's question after its last look: whether nothing has come that is owed an answer.  If
+        something has, the connection is as it was before it was to end."""
+        halves = self.front.retiring.get(self, False)
+        if self.deaf or (not self.owed and (halves or self.between())):
+            return True
+        del self.front.retiring[self]
+        self.code = None
+        self.blocked = False
+        self.front.deadlines.drop(self.stuck)
+        self.stuck = None
+        self.transport.registerProducer(self, True)
+        if not self.asked:
+            self.front.fresh[self] = None
+        return False
+
     def leave(self, code: str) -> None:
-        """Closes between commands; one that does not read its last answers is cut off."""
+        """Closes what can't be read any more; one that does not read its last answers is cut off."""
         self.front.fresh.pop(self, None)
         self.front.idle.pop(self, None)
         self.deafen()
@@ -313,7 +347,8 @@
     # the part that clients may have, after the second: hundreds a second ask once and stay.
     IDLE, SOON = 2_000_000, 50_000
     YOUNG = 100_000  # a usual client's first req is here by then
-    SPARE = 32  # descriptors for all else: the list, peers, operators, the log, Python's own
+    MAKING_WAY = 16  # connections beyond the bound for as long as others make way
+    SPARE = 32  # descriptors for these and for all else: the list, peers, operators, the log, Python's own
     # A drain: its slices, and the time over which idle ones are closed where the operators call for it: their
     # clients come back elsewhere spread over it, and it ends well before the 4 s at which none may be left.
     # Half a second before the 2 s after which none may ask any more a half-said command has no time left.
@@ -332,6 +367,7 @@
         self.clients = Slots()
         self.fresh: OrderedDict[Client, None] = OrderedDict()  # nothing whole said yet; longest silent first
         self.idle: OrderedDict[Client, None] = OrderedDict()  # of the others; longest idle first
+        self.retiring: dict[Client, bool] = {}  # to be closed unless more comes; also with half a command
         self.ids: set[bytes] = set()  # of the reqs in hand
         self.draining = ""  # the code with which connections are closed; empty: they are kept
         self.refuses = False  # PING is answered no
@@ -347,7 +383,8 @@
         self.fit()
 
     def fit(self) -> None:
-        beyond = sum(not client.deaf for client in self.clients.values()) - self.most
+        ending = sum(client.deaf and client not in self.retiring for client in self.clients.values())
+        beyond = len(self.clients) - ending - len(self.retiring) - self.most
         going = [client for client in self.idle if client.between()][: min(self.EACH, max(0, beyond))]
         if going:
             self.deadlines.at(self.now() + 1, self.part, going, False, "no-room")
@@ -373,17 +410,22 @@
             at_ease = kept == most and len(self.idle) <= 2 * kept
             if now - oldest.since < (self.IDLE if at_ease else self.SOON):
                 return
-            oldest.leave("idle")
+            oldest.retire("idle")
+
+    def room(self) -> int:
+        """How many more may be accepted now: those that make way need their descriptors a turn longer."""
+        return self.most + self.MAKING_WAY - len(self.clients)
 
-    def make_room(self, new: Client) -> None:
+    def make_room(self) -> None:
         """Guards the descriptors: first goes, of those that asked nothing of use, the one silent for longest,
         then the one idle longest.  One that sends slowly is no silent one."""
-        if len(self.clients) <= self.most:
+        if len(self.clients) - len(self.retiring) <= self.most:
             return
-        oldest = next(iter(self.fresh))
-        if oldest.heard > self.now() - self.YOUNG and self.idle:
+        oldest = next(iter(self.fresh), None)
+        if self.idle and (oldest is None or oldest.heard > self.now() - self.YOUNG):
             oldest = next(iter(self.idle))
-        oldest.leave("no-room")
+        if oldest is not None:
+            oldest.retire("no-room", halves=True)
 
     def plain(self, name: bytes) -> bytes:
         if name == b"PING" and self.refuses:
@@ -464,6 +506,7 @@
         client.upload = None
         self.idle.pop(client, None)
         self.fresh.pop(client, None)
+        self.retiring.pop(client, None)
         self.clients.drop(client.slot)
         still = [place[3] for place in client.owed if place[0] is None]
         logger.info(
@@ -511,7 +554,7 @@
         going += takewhile(lambda new: new.heard < now - self.YOUNG, self.fresh)
         halves = now >= self.halves
         if halves:
-            going = [*self.idle, *self.fresh]
+            going = [client for client in self.clients.values() if not client.owed]
         if going:  # a turn later, so that what has come to them by now is read first
             self.deadlines.at(now + 1, self.part, going, halves)
         self.next = self.deadlines.at(now + self.SLICE, self.slice)
@@ -521,4 +564,4 @@
         code = self.draining or code
         for client in going:
             if code and not client.owed and not client.deaf and (halves or client.between()):
-                client.leave(code)
+                client.retire(code, halves)
--- a/ivystack/net/handover.py
+++ b/ivystack/net/handover.py
@@ -21,6 +21,7 @@
 
 from ..choice import Choice, Room
 from ..model import LEFT, Errors, Node
+from . import listener
 
 VERSION = 1  # of what is told; another one's is not understood
 MOST = 1 << 20  # bytes told: some hundred nodes are a tenth of it
@@ -42,7 +43,7 @@
             raise ValueError(f"`LB_FD`: descriptor {fd} does not listen")
         # Both processes wait at it: an accept that finds nothing, as the other was quicker, must not wait.
         inherited.setblocking(False)
-        port = reactor.adoptStreamPort(inherited.fileno(), inherited.family, factory)  # has a copy of its own
+        port = listener.adopt(reactor, inherited.fileno(), inherited.family, factory)
     os.close(fd)
     return port
 
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -21,6 +21,7 @@
 from .discovery import Discovery
 from .front import Frame, Front
 from .handover import Handover, State, adopt, take, told
+from .listener import ClientListener, listen
 from .nodes import Nodes, Sending
 from .peers import Peers
 from .relay import Upload
@@ -47,7 +48,8 @@
 class Proxy:
     COMING = 60_000_000  # a long write may take so long to come; its own time counts from its last byte
     LAST = 2_000  # after its end a req is answered whatever the decisions do; they come first
-    AT_ONCE = 16  # clients accepted in one go: with no room so many make way only after it, of Front.SPARE
+    BACKLOG = 1024  # clients that the kernel keeps for us until we accept them
+    listen = staticmethod(listen)
     LET_GO = 100_000  # before the address for datagrams is tried again
     STAY = 500_000  # served on after SIGTERM: new connections go on coming for part of it
     # Then for commands that are still coming.  From 0.7 s on nothing is taken: SIGKILL comes that long after
@@ -137,10 +139,7 @@
             self.port = adopt(self.reactor, self.run.fd, self.front)
             self.handover.listen()
         else:
-            self.port = self.reactor.listenTCP(
-                self.run.listen[1], self.front, backlog=1024, interface=self.run.listen[0]
-            )
-        self.port.numberAccepts = self.AT_ONCE
+            self.port = self.listen(self.reactor, *self.run.listen, self.front, self.BACKLOG)
         self.discovery.watch()
         logger.info("start name={} nodes={}", self.run.name, len(self.choice.nodes))
         self.started = True
@@ -233,8 +232,7 @@
         at an inherited one is the other process's to take."""
         self.port.stopReading()
         if self.run.fd is None:
-            self.port.numberAccepts = max(self.AT_ONCE, self.front.most - len(self.front.clients))
-            self.port.doRead()
+            self.port.accept_waiting(max(ClientListener.AT_ONCE, self.front.room()))
         self.port.connectionLost(Failure(ConnectionDone()))  # in this turn: later, more would have come
 
     def finish(self) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -54,6 +54,9 @@
     def fileno(self):
         return -1  # there is no socket
 
+    def read_now(self):
+        """Nothing has come that was not given to the protocol."""
+
     def took(self):
         """What has been written since this was asked last."""
         text = self.value()
@@ -69,7 +72,7 @@
     def stopReading(self):  # noqa: N802
         pass
 
-    def doRead(self):  # noqa: N802
+    def accept_waiting(self, most):
         pass
 
     def connectionLost(self, reason):  # noqa: N802
@@ -77,9 +80,11 @@
 
 
 class Reactor(MemoryReactorClock):
-    def listenTCP(self, *values, **named):  # noqa: N802
-        super().listenTCP(*values, **named)
-        return Door()
+    pass
+
+
+def listen(reactor, host, port, factory, backlog):
+    return Door()
 
 
 def entries(count, state="SERVING", **more):
@@ -107,6 +112,7 @@
     reactor = Reactor()
     reactor.advance(1000)
     made = Proxy(run or told(reporting, **limits), reactor, lambda: round(reactor.seconds() * S))
+    made.listen = listen
     made.listed(entries(count), True)
     return made
 
--- a/tests/test_close.py
+++ b/tests/test_close.py
@@ -28,20 +28,22 @@
         self.moment = Moment().start(self.node)
         self.proxy, self.front = self.moment.proxy, self.moment.proxy.front
         self.asking = self.moment.client()
+        self.asking.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # no piece waits
         self.to_node = None
         self.moment.until(lambda: self.front.clients)
         (self.ours,) = self.moment.turn(lambda: [*self.front.clients.values()])
         if answered:
             self.asking.send(gets(1, b"first"))
-            self.answer()
-            assert self.asking.take() == b"v"
+            value = self.answer()
+            assert self.asking.take() == value
 
-    def answer(self) -> None:
-        """The node gives the next request its value."""
+    def answer(self) -> bytes:
+        """The node gives the next request a value of its own: of two alike the second passes for a copy."""
         if self.to_node is None:
             self.to_node = self.node.accept()
-        self.to_node.take()
-        self.to_node.send(hit())
+        value = self.to_node.take()[2]
+        self.to_node.send(hit(value))
+        return value
 
     def arrives(self, close, *values, data: bytes = gets(1, b"late")) -> None:
         """In one turn: the bytes are in the kernel, unread, and then `close` is called."""
@@ -62,9 +64,8 @@
         self.moment.until(lambda: self.proxy.reqs or self.ours not in self.front.clients.values())
         if not self.moment.turn(lambda: bool(self.proxy.reqs)):
             return f"closed, code={self.ours.code}"
-        self.answer()
-        took = self.asking.take()
-        return "served" if took == b"v" else f"got {took!r}"
+        value, took = self.answer(), self.asking.take()
+        return "served" if took == value else f"got {took!r}"
 
 
 def idle_beyond_the_bound():
@@ -215,6 +216,7 @@
         for _ in range(500 if call == "accept" else 0):  # the proxy may rest after each, so time has to pass
             if left[0]:
                 made.pass_by(20_000)
+        made.pass_by(20_000)
         for _ in clients:
             to_node = node.accept()
             if to_node.take() is None:
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -18,6 +18,7 @@
 
 from ivystack.model import LEAVING
 from ivystack.net.front import Client
+from ivystack.net.listener import ClientListener
 from ivystack.net.resp import command
 from ivystack.settings import Settings
 
@@ -187,7 +188,7 @@
 
     def last_turn():
         made.proxy.terminate()
-        for _ in range(3 * made.proxy.AT_ONCE):
+        for _ in range(3 * ClientListener.AT_ONCE):
             came.append(made.client())
             came[-1].send(command(b"PING"))
         made.proxy.stop_taking()
