--- a/tests/test_close.py
+++ b/tests/test_close.py
@@ -10,7 +10,7 @@
 import socket
 
 import pytest
-from helpers import hit
+from helpers import client, get, hit, proxy
 from moments import Moment, Node, gets
 from test_rig import ivy
 
@@ -234,3 +234,62 @@
 def test_proxies_that_are_held_up_again_and_again_lose_no_request(scene):
     code, told, _ = ivy("rig", "play", scene, "--seconds", "7", "--quiet")
     assert code == 0, told
+
+
+# --- Related finds: what is overdue, what has not gone out, what ends while it is taken ---
+
+
+def test_what_has_come_is_read_before_what_is_overdue():
+    """Both are there when a process goes on that was held up: an answer, and a deadline it was in time for."""
+    case = Resting(answered=True)
+    try:
+        case.asking.send(command(b"OBJ.GET", b"7f", b"late", b"c=read,t=t,d=900"))
+        ident = case.to_node.take()[2]
+
+        def goes_on() -> None:
+            case.to_node.send(hit(ident))
+            case.passes(2_000_000)
+
+        # As the reactor's own timers are called: what such a call asks for comes after the sockets were read.
+        case.moment.turn(case.moment.loop.real.callLater, 0, goes_on)
+        assert case.asking.take() == ident
+    finally:
+        case.moment.stop()
+
+
+def test_bytes_of_an_attempt_that_has_ended_never_go_out():
+    """The node takes nothing for a while, so an attempt waits in our own buffer when its request ends."""
+    node = Node("n0")
+    node.door.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    made = Moment(streams_per_conn=8, may_duplicate=True).start(node)
+    try:
+        asking = made.client()
+        asking.send(gets(1, b"first"))
+        to_node = node.accept()
+        to_node.take()
+        to_node.send(hit(b"first"))
+        assert asking.take() == b"first"
+        (link,) = made.turn(lambda: [*made.proxy.nodes.links.values()])
+        made.turn(link.transport.socket.setsockopt, socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        asking.send(command(b"OBJ.SET", b"7f", b"big", b"c=pay,t=t,d=500", b"v" * 60_000))
+        made.until(lambda: link.transport.dataBuffer)
+        made.pass_by(600_000)
+        assert asking.take() == "-BUSY"  # it never ran, provably
+        to_node.socket.settimeout(1)
+        assert to_node.take() is None  # the end, and no whole command before it
+    finally:
+        made.stop()
+
+
+def test_a_request_whose_client_goes_while_it_is_taken_goes_nowhere():
+    made = proxy(0)  # no node: it waits
+    asking = client(made)
+    true_settle = made.settle
+
+    def leaves() -> None:  # as where another's ending cuts short what this client is being passed on
+        made.settle = true_settle
+        made.front.let_go(asking)
+
+    made.settle = leaves
+    asking.dataReceived(get(b"1"))
+    assert not made.reqs and not made.held and not made.front.ids
