--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -356,11 +356,13 @@
     EACH = 8  # closed in a slice where they are beyond a bound that has changed
 
     def __init__(
-        self, reactor, deadlines, now, taken, gone, cut, ready, methods, tenants, most: int, memory: int
-    ):
+        self, reactor, deadlines, now, admit, begin, gone, cut, ready, methods, tenants, most: int,
+        memory: int,
+    ):  # fmt: skip
+        """`admit` puts a request into the table and tells its slot, `begin` decides on it."""
         self.deadlines, self.now = deadlines, now
         self.ends = Ends(reactor, self.left)
-        self.taken, self.gone, self.cut, self.ready = taken, gone, cut, ready
+        self.admit, self.begin, self.gone, self.cut, self.ready = admit, begin, gone, cut, ready
         self.knows(methods, tenants)
         self.most, self.held = most, memory // self.HELD
         self.fitting: list | None = None
@@ -481,7 +483,7 @@
             client.answer(place, told(word, what))
 
         place[3] = ident
-        place[1] = self.taken(
+        place[1] = self.admit(
             reply,
             Frame(args, wait.span(1), upload.size if upload else 0),
             method,
@@ -492,6 +494,7 @@
             fields.get(b"r") == b"1",
             upload,
         )
+        self.begin(place[1])  # only now: what it ends may let this client go, and this request with it
 
     def left(self, client: Client) -> None:
         """It has ended while it is not read.  One that waits for nothing more may still take what is on its
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -25,20 +25,23 @@
 class Sending:
     """One attempt on its way: it waits at a place for a connection, or is out on a link, or has ended."""
 
-    __slots__ = ("attempt", "frame", "upload", "link", "place", "until", "over", "report", "hit")
+    __slots__ = ("attempt", "frame", "upload", "link", "place", "until", "last_byte", "over", "report", "hit")
 
     def __init__(self, attempt: Attempt, frame, upload: Upload | None = None):
         self.attempt, self.frame, self.upload = attempt, frame, upload
         self.link: Link | None = None
         self.place: Place | None = None
         self.until: list[list] = []  # its deadlines
+        self.last_byte = 0  # its place among all bytes written to its link
         self.over = False
         self.report: bytes | None = None  # the node's load, as it came with the answer
         self.hit = False  # the node told that it had the value
 
     def partial(self) -> bool:
         """Its last byte has not gone out: the node can't have begun it."""
-        return self.upload is not None and not self.upload.whole
+        if self.link is None:
+            return False
+        return (self.upload is not None and not self.upload.whole) or self.last_byte > self.link.gone_out()
 
 
 class Place:
@@ -73,8 +76,20 @@
         self.last = (0, 0)  # the value that came last, hashed, or a long one's size; and when
         self.busy_at = -Nodes.DOUBT  # when it last turned an attempt away
         self.relay: Relay | None = None  # the long answer that is being passed on
+        self.written = 0  # bytes that were given to the transport for attempts
         self.slot = nodes.links.put(self)
 
+    def send(self, parts: list[bytes]) -> None:
+        """Writes now, not in the reactor's next turn: what is decided there may end the attempt."""
+        self.written += sum(map(len, parts))
+        self.transport.writeSequence(parts)
+        self.transport.doWrite()
+
+    def gone_out(self) -> int:
+        """How many of the bytes written were handed to the kernel."""
+        transport = self.transport
+        return self.written - (len(transport.dataBuffer) - transport.offset + transport._tempDataLen)
+
     def connectionMade(self) -> None:  # noqa: N802
         self.up = True
         self.transport.setTcpNoDelay(True)
@@ -291,10 +306,11 @@
         rest = max(1, (sending.attempt.until - self.now()) // 1000)
         if trace.enabled:
             trace.step(sending.frame.ident, "sent", node=link.place.name, link=link.slot, told_ms=rest)
-        if sending.upload is None:
-            return link.transport.writeSequence(sending.frame.telling(rest))
-        link.transport.writeSequence(sending.frame.telling(sending.upload.rest))
-        sending.upload.sent_to(link)
+        if sending.upload is not None:
+            link.send(sending.frame.telling(sending.upload.rest))
+            return sending.upload.sent_to(link)
+        link.send(sending.frame.telling(rest))
+        sending.last_byte = link.written
 
     def call_off(self, sending: Sending) -> None:
         self.give_up(sending, RECALLED)
@@ -344,7 +360,7 @@
             self.deadlines.drop(deadline)
         if sending.link is None:
             sending.place.waiting.remove(sending)
-        if sending.partial():
+        if sending.upload is not None and sending.partial():
             sending.upload.broke()
         self.ended(sending, outcome, value)
 
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -73,7 +73,7 @@
         )  # fmt: skip
         most = run.sockets - self.nodes.most - Front.SPARE
         self.front = Front(
-            reactor, self.deadlines, self.now, self.taken, self.gone, self.cut, self.ready,
+            reactor, self.deadlines, self.now, self.admit, self.begin_on, self.gone, self.cut, self.ready,
             self.settings.methods, self.settings.tenants, most, run.memory,
         )  # fmt: skip
         self.discovery = Discovery(
@@ -270,7 +270,7 @@
 
     # Clients.
 
-    def taken(
+    def admit(
         self, reply, frame: Frame, method, wait: int, key: int, tenant, write, repeat,
         upload: Upload | None = None,
     ) -> int:  # fmt: skip
@@ -285,10 +285,18 @@
         self.held[req] = held
         # Guards against a req that failing decisions have lost: its client gets an answer all the same.
         held.last_call = self.deadlines.at(req.give_up_at + self.LAST, self.answer, req, FAIL)
-        self.ask(req, now)
-        self.settle()
         return held.slot
 
+    def begin_on(self, slot: int) -> None:
+        """Decides on a request that was admitted; whatever fails here, it keeps its last call."""
+        req = self.reqs[slot].req
+        try:
+            self.ask(req, req.arrived if self.reqs[slot].upload is None else self.now())
+            self.settle()
+        except Exception:  # guards the client's connection and what else is asked on it
+            logger.exception("a request could not be begun")
+            self.answer(req, FAIL)
+
     def through(self, upload: Upload) -> None:
         """A long write's last byte has gone out: it is taken now, and the node can begin."""
         held = self.held.get(upload.req)
--- a/ivystack/net/relay.py
+++ b/ivystack/net/relay.py
@@ -137,10 +137,10 @@
 
     def write(self, data: bytes) -> None:
         self.req.once = True
-        self.link.transport.write(data)
+        self.link.send([data])
 
     def finish(self) -> None:
-        self.link.transport.write(b"\r\n")
+        self.link.send([b"\r\n"])
         self.whole = True
         self.leave()
         self.through(self)
--- a/ivystack/net/tables.py
+++ b/ivystack/net/tables.py
@@ -42,6 +42,7 @@
 class Deadlines:
     """Calls to be made at their times; a list [at, number, call, values] each, its call None once over."""
 
+    HELD_UP = 20_000  # microseconds late: the process did not run meanwhile, and what has come lies unread
     MANY = 1000  # dropped ones that may stay in the heap, where they are over half of it
 
     def __init__(self, reactor, now):
@@ -50,6 +51,7 @@
         self.count = 0
         self.dropped = 0  # still in the heap
         self.timer, self.timer_at = None, 0
+        self.read_up = False  # the sockets were read since it was seen that we were held up
 
     def at(self, when: int, call, *values) -> list:
         self.count += 1
@@ -91,8 +93,15 @@
             self.timer.reset(rest)
 
     def fire(self) -> None:
+        """Makes the calls that are due.  Where the process was held up, the reactor reads its sockets first:
+        an answer that came in time must not lose against the deadline that it was in time for."""
         self.timer = None
         now = self.now()
+        if not self.read_up and self.heap and self.heap[0][0] < now - self.HELD_UP:
+            self.read_up = True
+            self.timer, self.timer_at = self.reactor.callLater(0, self.fire), now
+            return
+        self.read_up = False
         while self.heap and self.heap[0][0] <= now:
             call, values = self.pop()
             if call is None:
