Failing tests of two more finds: calls of operators dropped unread, requests that SIGKILL would find

A request that crosses its connection's end after SIGTERM is served since the last look, with all of its own time, which may end after the earliest SIGKILL (the longest deadline and 0.7 s).

--- a/tests/test_close.py
+++ b/tests/test_close.py
@@ -10,10 +10,11 @@
 import socket
 
 import pytest
-from helpers import client, get, hit, proxy
+from helpers import client, get, hit, proxy, told
 from moments import Moment, Node, gets
 from test_rig import ivy
 
+from ivystack.net.admin import Admin
 from ivystack.net.front import Client, Front
 from ivystack.net.resp import command
 
@@ -294,3 +295,37 @@
     made.settle = leaves
     asking.dataReceived(get(b"1"))
     assert not made.reqs and not made.held and not made.front.ids
+
+
+def test_calls_of_operators_that_came_together_are_all_answered():
+    """More than the bound at once, each with its whole call: they are read before the oldest makes way."""
+    run = told()
+    with socket.create_server(("127.0.0.78", 0)) as free:
+        run.admin = free.getsockname()
+    made = Moment(run=run).start(Node("n0"))
+    try:
+        callers = []
+
+        def all_at_once() -> None:
+            for _ in range(Admin.MOST + 8):
+                callers.append(socket.create_connection(run.admin, timeout=10))
+                callers[-1].sendall(b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n")
+
+        made.turn(all_at_once)
+        assert [one.recv(12) for one in callers] == [b"HTTP/1.1 200"] * len(callers)
+    finally:
+        for one in callers:
+            one.close()
+        made.stop()
+
+
+def test_a_request_that_comes_late_after_sigterm_ends_before_sigkill_may_come():
+    """It crossed the end of its connection and is served, but the earliest SIGKILL must not find it."""
+    made = proxy(1)
+    made.terminate()
+    begun = made.now()
+    made.reactor.advance(1.2)
+    asking = client(made)
+    asking.dataReceived(get(b"1", fields=b"c=read,t=t,d=900"))
+    (held,) = made.reqs.values()
+    assert held.req.give_up_at < begun + 1_000_000 + 700_000  # the longest deadline is 1 s here
