No young connection is shut for want of room; late requests end before SIGKILL; operators' calls read first

- front.py, listener.py: with a full table make_room shut what had come just now, also where its request was on its way (rig held-up beside 12 busy processes: 4,757 ends with no-room in 5 s).
Now only what has been silent for 20 ms, or rests, makes way; else nobody is accepted until there is room, and who comes waits in the kernel's backlog.
- proxy.py: after SIGTERM a request's time ends at the latest 0.15 s before SIGKILL may come.
- admin.py: a call that lies unread is read before its connection makes way.

--- a/ivystack/net/admin.py
+++ b/ivystack/net/admin.py
@@ -102,4 +102,6 @@
         if len(self.open) > self.MOST:
             oldest = next(iter(self.open))
             del self.open[oldest]
-            oldest.drop("no-room")
+            oldest.transport.doRead()  # its call may lie unread where many came at once
+            if oldest.code is None:
+                oldest.drop("no-room")
--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -347,6 +347,7 @@
     # the part that clients may have, after the second: hundreds a second ask once and stay.
     IDLE, SOON = 2_000_000, 50_000
     YOUNG = 100_000  # a usual client's first req is here by then
+    PRESSED = 20_000  # nearly as surely; for where nobody else could make way
     MAKING_WAY = 16  # connections beyond the bound for as long as others make way
     SPARE = 32  # descriptors for these and for all else: the list, peers, operators, the log, Python's own
     # A drain: its slices, and the time over which idle ones are closed where the operators call for it: their
@@ -418,16 +419,24 @@
         """How many more may be accepted now: those that make way need their descriptors a turn longer."""
         return self.most + self.MAKING_WAY - len(self.clients)
 
-    def make_room(self) -> None:
-        """Guards the descriptors: first goes, of those that asked nothing of use, the one silent for longest,
-        then the one idle longest.  One that sends slowly is no silent one."""
-        if len(self.clients) - len(self.retiring) <= self.most:
-            return
-        oldest = next(iter(self.fresh), None)
-        if self.idle and (oldest is None or oldest.heard > self.now() - self.YOUNG):
-            oldest = next(iter(self.idle))
-        if oldest is not None:
+    def make_room(self, least: int = 0) -> int:
+        """Guards the descriptors; how many make way, at least so many if there are any.  First goes, of those
+        that asked nothing of use, the one silent for longest, then the one idle longest.  One that sends
+        slowly is no silent one, and one that came just now is not shut: who comes after it has to wait."""
+        wanted = max(least, len(self.clients) - len(self.retiring) - self.most)
+        for made in range(wanted):
+            oldest = self.may_make_way()
+            if oldest is None:
+                return made
             oldest.retire("no-room", halves=True)
+        return max(0, wanted)
+
+    def may_make_way(self) -> Client | None:
+        silent, idle = next(iter(self.fresh), None), next(iter(self.idle), None)
+        young = self.YOUNG if idle is not None else self.PRESSED
+        if silent is not None and silent.heard <= self.now() - young:
+            return silent
+        return idle
 
     def plain(self, name: bytes) -> bytes:
         if name == b"PING" and self.refuses:
--- a/ivystack/net/listener.py
+++ b/ivystack/net/listener.py
@@ -83,8 +83,9 @@
         """Accepts up to so many that wait, as far as there is room."""
         for _ in range(most):
             if self.factory.room() <= 0:
-                self.factory.make_room()
-                return self.rest()
+                if not self.factory.make_room():
+                    self.rest()
+                return
             if not self.accept_one():
                 return
 
@@ -97,7 +98,7 @@
                 return False
             if fault.errno in EXHAUSTED:
                 logger.warning("accept: rests {} ms code={}", REST // 1000, errorcode[fault.errno])
-                self.factory.make_room()
+                self.factory.make_room(least=1)
                 self.rest()
                 return False
             # Any other is that one connection's (accept(2): errors of the network come up here).
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -55,6 +55,9 @@
     # Then for commands that are still coming.  From 0.7 s on nothing is taken: SIGKILL comes that long after
     # the longest deadline, and what it finds is lost.
     HALVES = 200_000
+    # SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s at most, and 0.7 s.
+    # What is taken near the end of that time is answered before it, also where we are held up for 0.15 s.
+    LONGEST, UNTIL_KILL, HELD_UP = 3_000_000, 700_000, 150_000
 
     def __init__(self, run: Run, reactor, now=None):
         self.run, self.reactor, self.now = run, reactor, now or Clock()
@@ -87,6 +90,7 @@
         self.limits = run.sockets, run.memory  # the start's
         self.port = None
         self.started = self.ending = False
+        self.last_answer_at = 0  # once ending: by when all that is still taken has to be answered
 
     # Start and end.
 
@@ -215,6 +219,8 @@
         if self.ending:
             return
         self.ending = True
+        rest = min(self.LONGEST, self.settings.longest_wait()) + self.UNTIL_KILL - self.HELD_UP
+        self.last_answer_at = self.now() + rest
         inherited = self.run.fd is not None  # another process accepts there, or will
         logger.info("stop asked reqs={}", len(self.reqs))
         self.front.drain("stopping", self.STAY, self.HALVES, refuses=not inherited)
@@ -275,6 +281,8 @@
         upload: Upload | None = None,
     ) -> int:  # fmt: skip
         now = self.now()
+        if self.ending:
+            wait = max(0, min(wait, self.last_answer_at - now))
         arrives = now if upload is None else now + self.COMING
         req = Req(method, arrives, arrives + wait, key, tenant, write, repeat)
         held = Held(req, frame, reply, upload, wait)
--- a/ivystack/rig/faults.py
+++ b/ivystack/rig/faults.py
@@ -14,7 +14,9 @@
 from .check import Excuse
 from .processes import Process
 from .record import US, Mark
-from .scenario import AIMED, CLIENTS, FILES, HOLDER, LEADER, LINK, LISTS, PEER, PROCESS, TRIER, Fault, found
+from .scenario import (  # fmt: skip
+    AIMED, CLIENTS, FILES, HOLDER, LEADER, LINK, LISTS, PAUSE, PEER, PROCESS, TRIER, Fault, found,
+)
 
 
 class Faults:
@@ -141,7 +143,7 @@
         elif fault.kind == "pause":  # excuses nothing: the terms name it as what a proxy has to bear
             process.stop()
             self.mark(name, word, undo)
-            undo.append((process.go_on,))
+            undo.append((self.pause_over, process, self.rig.now()))
         elif fault.kind == "syscall":  # nor does this: nothing is lost by such a failure itself
             process.fail_call(fault.call, fault.error, fault.part)
             self.mark(name, f"{word} {fault.call} {fault.error}", undo)
@@ -157,6 +159,13 @@
             self.mark(name, f"clock {fault.hours:+g} h", undo)
             undo.append((process.step, 0.0))
 
+    def pause_over(self, process: Process, began: int) -> None:
+        """A pause that the rig, being late itself, has let last for too long is excused as a stop is."""
+        process.go_on()
+        now = self.rig.now()
+        if now - began > PAUSE * US:
+            self.rig.record.excuses.append(Excuse(began, now + US, process.name))
+
     def beside(self, process: Process, undo: list) -> None:
         """A second process of that proxy, as in an upgrade, with its name and its directory; clients do not
         come to it.  Taking it back ends the first one, and the second goes on alone, with its directory."""
--- a/ivystack/settings.py
+++ b/ivystack/settings.py
@@ -210,6 +210,11 @@
         most = min(self.PAUSES[1], grace // self.GRACE or self.PAUSES[1])
         return min(self.PAUSES[0], most), most
 
+    def longest_wait(self) -> int:
+        """The longest deadline of any class, in microseconds."""
+        sheets = self.sheet.methods or []
+        return max((us(max(one.give_up or 0, one.latency_budget or 0)) for one in sheets), default=0)
+
     # Retuning: what another sheet says is handed to the parts in use.  What they have seen stays theirs.
 
     def take(self, new: Settings) -> list[Method]:
