Rig draws pauses, failing calls and leaving clients; attempts after their request's end are a breach

`rig random` draws the new kinds, descriptors of 96, 192 or 1,024 and which resting connection clients reuse. Each check finds a planted breach: the last look left out (held-up), ENOMEM taken for an end (failing-calls), by records (test_rig.py).

--- a/ivystack/rig/check.py
+++ b/ivystack/rig/check.py
@@ -64,6 +64,7 @@
         *cold_nodes(ledger, terms),
         *for_nobody(tries, ledger, terms),
         *begun_for_nobody(tries, ledger, excuses, terms),
+        *sent_after_its_answer(tries, ledger, excuses, terms),
     ]
     return sorted(found, key=lambda breach: breach.at)
 
@@ -247,6 +248,22 @@
     return [Breach("nothing is begun for nobody", when, one.ident.decode(), text)]
 
 
+def sent_after_its_answer(
+    tries: list[Try], ledger: Ledger, excuses: list[Excuse], terms: Terms
+) -> list[Breach]:
+    """No attempt reaches a node once the proxy has ended its request: with an answer, or its connection."""
+    taken, found = defaultdict(list), []
+    for one in ledger.taken:
+        taken[one.proxy, one.ident].append(one)
+    for one in tries:
+        ended = one.answers[0][0] if one.answers else one.ended
+        for went in taken[one.proxy, one.ident] if ended is not None else ():
+            if went.at > ended + terms.late and not held_up(excuses, went, ended):
+                text = f"{went.node} had it {(went.at - ended) // 1000} ms after {one.proxy} had ended it"
+                found.append(Breach("nothing is sent after its end", went.at, one.ident.decode(), text))
+    return found
+
+
 # --- The agreed state ---
 
 
--- a/ivystack/rig/draw.py
+++ b/ivystack/rig/draw.py
@@ -10,6 +10,12 @@
 from .scenario import Agree, Fault, Fleet, Hold, Load, Scenario
 
 SHORT = 0.4, 2.5  # seconds that a drawn fault lasts
+ERRORS = {  # errors that a call may return for a moment, as its page of the Linux manual lists them
+    "accept": ["EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "ECONNABORTED", "EPROTO", "EHOSTUNREACH", "EPERM"],
+    "recv": ["ENOMEM", "ENOBUFS", "EINTR", "EAGAIN"],
+    "send": ["ENOMEM", "ENOBUFS", "EINTR", "EAGAIN"],
+    "connect_ex": ["EADDRNOTAVAIL", "ENETUNREACH", "EHOSTUNREACH", "ENOBUFS", "ETIMEDOUT", "ECONNREFUSED"],
+}
 
 
 def scenario(seed: int, seconds: float, proxies: int = 4, nodes: int = 5, group: int = 0) -> Scenario:
@@ -33,13 +39,23 @@
         at = round(rng.uniform(0.3, last), 2)
         span = round(min(rng.uniform(*SHORT), max(0.1, last + 0.5 - at)), 2)
         kind = rng.choice(
-            ["kill", "stop", "slow", "restart", "clock", "node-die", "node-hang", "node-slow", "node-fail",
+            ["pause", "pause", "syscall", "syscall", "leave", "kill", "stop", "slow", "restart", "clock",
+             "node-die", "node-hang", "node-slow", "node-fail",
              "node-drain", "node-spoil", "origin-slow", "cut", "hole", "freeze", "delay", "loss", "twice",
              "rate", "reset", "half-open", "list-silent", "list-refuses"]
         )  # fmt: skip
         fault = Fault(at=at, kind=kind, span=span)
         proxy, node = f"p{rng.randrange(proxies)}", f"n{rng.randrange(nodes)}"
-        if kind in ("kill", "stop", "slow", "restart", "clock"):
+        if kind == "pause":
+            fault.who, fault.span = [rng.choice([proxy, "p*"])], round(rng.uniform(0.04, 0.14), 3)
+            fault.times, fault.every = rng.randint(1, 8), round(rng.uniform(0.2, 0.7), 2)
+        elif kind == "syscall":
+            fault.who, fault.call = [proxy], rng.choice([*ERRORS])
+            fault.error, fault.part = rng.choice(ERRORS[fault.call]), rng.choice([0.02, 0.2, 0.8])
+        elif kind == "leave":
+            fault.who, fault.part = [rng.choice([proxy, "p*"])], round(rng.uniform(0.2, 1.0), 2)
+            fault.span = 0.0
+        elif kind in ("kill", "stop", "slow", "restart", "clock"):
             if kind != "clock" and not may("p", proxy, at, at + span):
                 continue
             out["p"].append((at, at + span, proxy))
@@ -76,7 +92,13 @@
     agree = Agree(rate=25.0 if group else 0.0, keys=4)
     return Scenario(
         version=1, name=f"random-{seed}", about="faults drawn by chance", seconds=seconds, seed=seed,
-        fleet=Fleet(proxies=proxies, nodes=nodes, zones=rng.choice([1, 2]), group=group),
-        load=Load(rate=80.0, shape=rng.choice(["poisson", "surge"])), fault=faults,
+        fleet=Fleet(
+            proxies=proxies, nodes=nodes, zones=rng.choice([1, 2]), group=group,
+            sockets=rng.choice([96, 192, 1024]),
+        ),
+        load=Load(
+            rate=80.0, shape=rng.choice(["poisson", "surge"]), reuse=rng.choice(["newest", "oldest"]),
+        ),
+        fault=faults,
         hold=Hold(linked=bool(group), orders=bool(group)), agree=agree, settle=4.0 if group else 1.5,
     )  # fmt: skip
--- a/tests/test_close.py
+++ b/tests/test_close.py
@@ -233,7 +233,7 @@
         made.stop()
 
 
-@pytest.mark.parametrize("scene", ["held-up"])
+@pytest.mark.parametrize("scene", ["held-up", "failing-calls"])
 def test_proxies_that_are_held_up_again_and_again_lose_no_request(scene):
     code, told, _ = ivy("rig", "play", scene, "--seconds", "7", "--quiet")
     assert code == 0, told
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -71,6 +71,26 @@
     assert broken(lost, [Excuse(600, 800, "p0", "n0")]) == [("one answer", 700)]
 
 
+def test_what_lay_unread_for_longer_than_a_crossing_takes_was_lost():
+    def closed(after, crossed, terms=TERMS):
+        return broken([one(answers=(), ended=after, crossed=crossed)], terms=terms)
+
+    assert closed(10_000, True) == [] and closed(10_001, True) == [("one answer", 10_001)]
+    assert closed(1, False) == [("one answer", 1)]  # on a new connection nothing crosses
+    lagged = Terms(CLASSES, 100_000, 30_000, lag=20_000)
+    assert closed(20_000, False, lagged) == [] and closed(20_001, False, lagged) == [("one answer", 20_001)]
+    assert broken([one(answers=(), ended=5, crossed=True)], taken=[taken()]) == [("one answer", 5)]  # read
+
+
+def test_an_attempt_that_reaches_a_node_after_its_request_has_ended_is_found():
+    answered, cut_off = one(), one(answers=(), ended=1000, crossed=True)
+    late = taken(11_001)
+    assert broken([answered], taken=[taken(11_000)]) == []
+    assert broken([answered], taken=[late]) == [("nothing is sent after its end", 11_001)]
+    assert ("nothing is sent after its end", 11_001) in broken([cut_off], taken=[late])
+    assert broken([answered], [Excuse(900, 12_000, "p0", "n0")], taken=[late]) == []  # held up on its way
+
+
 def test_reqs_that_are_sent_on_after_their_client_has_left_are_found():
     # Counted against all that waited: one that a node had before is none of them.
     # What begins over 0.1 s after is a statement of its own, below.
@@ -304,6 +324,8 @@
     ("net/front.py", "            self.owed.popleft()\n            self.transport.write(text)",
      "            self.owed.popleft()\n            self.transport.write(2 * text)", "first", "one answer"),
     ("net/proxy.py", '"DRAINING": LEAVING', '"DRAINING": READY', "drain", "nothing new to a draining node"),
+    ("net/listener.py", "        if self.protocol.may_end():", "        if True:", "held-up", "one answer"),
+    ("net/listener.py", "EINTR, ENOMEM, ENOBUFS})  # of", "EINTR})  # of", "failing-calls", "one answer"),
 ])  # fmt: skip
 def test_a_program_that_breaks_a_rule_is_found_and_the_account_shows_the_req(
     tmp_path, path, before, after, scene, rule
