Clients that ended before they were read; short reads and failing epoll_ctl at the last look

Each read now looks once more; what lies before an end is nobody's. Accepts rest 2 ms (was 5).

Also at the end of a connection: the last look reads on until nothing is left (a byte a read was taken for half a command), and where recv fails for a moment it looks again.

--- a/ivystack/net/ends.py
+++ b/ivystack/net/ends.py
@@ -6,6 +6,9 @@
 from __future__ import annotations
 
 import select
+from errno import errorcode
+
+from loguru import logger
 
 
 class Ends:
@@ -27,8 +30,12 @@
             self.reactor.addReader(self)
         fd = one.transport.fileno()
         if fd >= 0 and one not in self.at:
+            try:
+                self.epoll.register(fd, select.EPOLLRDHUP | select.EPOLLONESHOT)
+            except OSError as fault:  # for want of memory: its end shows when it is read again
+                logger.warning("epoll: an end may be seen late code={}", errorcode.get(fault.errno))
+                return
             self.watched[fd], self.at[one] = one, fd
-            self.epoll.register(fd, select.EPOLLRDHUP | select.EPOLLONESHOT)
 
     def forget(self, one) -> None:
         """It is read again, or closed: a closed descriptor has left by itself, and its number is free."""
--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -16,7 +16,7 @@
 from ..model import NACK, SATISFIED
 from .ends import Ends
 from .relay import Relay, Upload
-from .resp import LONGEST, PARTS, VALUE, Given, Resp, bulk
+from .resp import LONGEST, PARTS, VALUE, Given, Resp, bulk, no_delay
 from .tables import Slots
 from .trace import trace
 
@@ -96,7 +96,7 @@
         self.upload: Upload | None = None  # the long write that is coming
 
     def connectionMade(self) -> None:  # noqa: N802
-        self.transport.setTcpNoDelay(True)
+        no_delay(self.transport)
         self.slot = self.front.clients.put(self)
         self.transport.registerProducer(self, True)
         self.since = self.heard = self.front.now()
@@ -262,15 +262,19 @@
     def retire(self, code: str, halves: bool = False) -> None:
         """Closes a connection at rest once all that was written is out, unless a request has come by then:
         that one is served.  `halves`: also one on which half a command has come."""
-        if self.deaf or self in self.front.retiring:
-            return
         self.front.fresh.pop(self, None)
         self.front.idle.pop(self, None)
+        if self.deaf or self in self.front.retiring:
+            return
         self.front.retiring[self] = halves
         self.watch_reading()
         self.transport.unregisterProducer()  # a paused one would keep the transport from closing
         self.close(code)
 
+    def reads_on(self) -> bool:
+        """Nothing of what has come so far is owed an answer."""
+        return not self.deaf and not self.owed
+
     def may_end(self) -> bool:
         """The transport's question after its last look: whether nothing has come that is owed an answer.  If
         something has, the connection is as it was before it was to end."""
--- a/ivystack/net/listener.py
+++ b/ivystack/net/listener.py
@@ -5,10 +5,13 @@
 - a connection was closed without a look at what had come meanwhile;
 - where a process runs out of descriptors, `Port` accepts what waits in the backlog and closes it at once;
 - each error of recv and send but EAGAIN was taken for the connection's end, also one that passes (ENOMEM).
+
+And they send on for nobody: a client's end that lies behind its request was seen a turn later.
 """
 
 from __future__ import annotations
 
+import enum
 import socket
 from errno import (  # fmt: skip
     EAGAIN, EINTR, EMFILE, ENFILE, ENOBUFS, ENOMEM, EWOULDBLOCK, errorcode,
@@ -17,21 +20,48 @@
 from loguru import logger
 from twisted.internet import main, tcp
 
-MOMENTARY = frozenset({EAGAIN, EWOULDBLOCK, EINTR, ENOMEM, ENOBUFS})  # of recv and send: try again
+NOTHING = frozenset({EAGAIN, EWOULDBLOCK})  # of recv: nothing has come
+MOMENTARY = frozenset({*NOTHING, EINTR, ENOMEM, ENOBUFS})  # of recv and send: try again
 EXHAUSTED = frozenset({EMFILE, ENFILE, ENOBUFS, ENOMEM})  # of accept: the connection goes on waiting
-REST = 5_000  # microseconds without an accept after one that could not be made
+REST = 2_000  # microseconds without an accept after one that could not be made
+LOOKS = 256  # reads in a row for what has come: a read may bring as little as a byte
+
+
+class Rest(enum.Enum):
+    """What reading to the end of what has come has found."""
+
+    NOTHING = "nothing more"
+    REQUEST = "something to be answered, or more than is read at once"
+    ENDED = "the client's end"
+    UNKNOWN = "the call failed for a moment"
 
 
 class ClientTransport(tcp.Server):
-    """A client's connection.  Its protocol says in `may_end` whether it may end now that all is written."""
+    """A client's connection.
+
+    Its protocol says in `may_end` whether it may end now that all is written, and in `reads_on` whether what
+    has come so far asks for nothing yet.
+    """
 
     def doRead(self):  # noqa: N802
+        """Reads what has come, and looks whether the client has ended right behind it: where it was accepted
+        or read late, what it asked would be sent on for nobody."""
         if self.disconnecting:  # the last look reads it; LineReceiver would take it apart by half
             return None
         try:
             data = self.socket.recv(self.bufferSize)
         except OSError as fault:
             return None if fault.errno in MOMENTARY else main.CONNECTION_LOST
+        if 0 < len(data) < self.bufferSize:
+            try:
+                more = self.socket.recv(self.bufferSize - len(data))
+            except OSError as fault:
+                if fault.errno not in MOMENTARY:
+                    return main.CONNECTION_LOST
+            else:
+                if not more:  # it has gone already: what it sent before is nobody's
+                    return main.CONNECTION_DONE
+                data += more
         return self._dataReceived(data)
 
     def writeSomeData(self, data):  # noqa: N802
@@ -40,11 +70,40 @@
         except OSError as fault:
             return 0 if fault.errno in MOMENTARY else main.CONNECTION_LOST
 
-    def read_now(self) -> None:
+    def read_now(self) -> Rest:
         """Reads what has come, without waiting for the reactor to say so.  An end that is found is left to
         the reactor, which finds it again."""
-        if self.connected:
-            self.doRead()
+        for _ in range(LOOKS if self.connected else 0):
+            try:
+                data = self.socket.recv(self.bufferSize)
+            except OSError as fault:
+                if fault.errno in NOTHING:
+                    return Rest.NOTHING
+                return Rest.UNKNOWN if fault.errno in MOMENTARY else Rest.ENDED
+            if not data:
+                return Rest.ENDED
+            self.protocol.dataReceived(data)
+            if not self.protocol.reads_on():
+                break
+        return Rest.REQUEST
+
+    def startReading(self):  # noqa: N802
+        self.ask_reactor(super().startReading)
+
+    def startWriting(self):  # noqa: N802
+        self.ask_reactor(super().startWriting)
+
+    def ask_reactor(self, call) -> None:
+        """epoll_ctl may fail for want of memory: an answer must not wait for good for that."""
+        try:
+            call()
+        except OSError as fault:
+            logger.warning("epoll: tried again in {} ms code={}", REST // 1000, errorcode.get(fault.errno))
+            self.reactor.callLater(REST / 1_000_000, self.ask_again, call)
+
+    def ask_again(self, call) -> None:
+        if self.connected and not self._aborting:
+            self.ask_reactor(call)
 
     def _postLoseConnection(self):  # noqa: N802
         """All that was written is out, and the connection is to end: the last look at what has come.
@@ -53,11 +112,14 @@
         microseconds is not read.
         """
         self.disconnecting = False
-        ended = self.doRead()
-        if ended is not None:
-            return ended
-        if self._tempDataLen or self.dataBuffer:  # an answer to what was read just now: look again after it
+        found = self.read_now()
+        if found is Rest.ENDED:
+            return main.CONNECTION_DONE
+        if self._aborting:
+            return None
+        if found is Rest.UNKNOWN or self._tempDataLen or self.dataBuffer:  # look again, after what is written
             self.disconnecting = True
+            self.startWriting()
             return None
         if self.protocol.may_end():
             return main.CONNECTION_DONE
@@ -77,7 +139,10 @@
     AT_ONCE = 16  # accepted in one turn
 
     def doRead(self):  # noqa: N802
-        self.accept_waiting(self.AT_ONCE)
+        try:
+            self.accept_waiting(self.AT_ONCE)
+        except Exception:  # guards the port: the reactor would close it
+            logger.exception("accept: failed")
 
     def accept_waiting(self, most: int) -> None:
         """Accepts up to so many that wait, as far as there is room."""
@@ -104,7 +169,11 @@
             # Any other is that one connection's (accept(2): errors of the network come up here).
             logger.warning("accept: passed by code={}", errorcode.get(fault.errno, fault.errno))
             return True
-        self.serve(accepted, address)
+        try:
+            self.serve(accepted, address)
+        except Exception:
+            logger.exception("accept: a connection could not be set up")
+            accepted.close()
         return True
 
     def serve(self, accepted: socket.socket, address: tuple) -> None:
@@ -122,8 +191,13 @@
         self.factory.deadlines.at(self.factory.now() + REST, self.go_on)
 
     def go_on(self) -> None:
-        if self.connected and not self.disconnecting:
+        if not self.connected or self.disconnecting:
+            return
+        try:
             self.startReading()
+        except OSError as fault:  # epoll_ctl for want of memory
+            logger.warning("accept: rests {} ms code={}", REST // 1000, errorcode.get(fault.errno))
+            self.rest()
 
 
 def listen(reactor, host: str, port: int, factory, backlog: int) -> ClientListener:
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -18,7 +18,7 @@
 )
 from . import tables
 from .relay import Relay, Upload
-from .resp import LONGEST, VALUE, Given, Resp
+from .resp import LONGEST, VALUE, Given, Resp, no_delay
 from .trace import trace
 
 
@@ -92,7 +92,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         self.up = True
-        self.transport.setTcpNoDelay(True)
+        no_delay(self.transport)
         self.nodes.came_up(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
--- a/ivystack/net/resp.py
+++ b/ivystack/net/resp.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import re
+from contextlib import suppress
 
 from twisted.internet import error
 from twisted.protocols.basic import LineReceiver
@@ -31,6 +32,12 @@
     return int(digits) if digits.isdigit() and len(digits) < 10 else None
 
 
+def no_delay(transport) -> None:
+    """Small writes go out at once.  That it can't be had, on a connection that is breaking, ends nothing."""
+    with suppress(OSError):
+        transport.setTcpNoDelay(True)
+
+
 def bulk(part: bytes) -> bytes:
     return b"$%d\r\n%b\r\n" % (len(part), part)
 
--- a/tests/test_close.py
+++ b/tests/test_close.py
@@ -16,6 +16,7 @@
 
 from ivystack.net.admin import Admin
 from ivystack.net.front import Client, Front
+from ivystack.net.listener import ClientTransport
 from ivystack.net.resp import command
 
 WAITS = b"c=read,t=t,d=60000"
@@ -330,3 +331,81 @@
     asking.dataReceived(get(b"1", fields=b"c=read,t=t,d=900"))
     (held,) = made.reqs.values()
     assert held.req.give_up_at < begun + 1_000_000 + 700_000  # the longest deadline is 1 s here
+
+
+def test_the_last_look_reads_to_the_end_though_reads_are_short_and_fail(monkeypatch):
+    """A byte a read, every third one ENOMEM: half a command whose rest is there is no half command."""
+    case = Resting(answered=True)
+    calls, true_recv = [0], socket.socket.recv
+
+    def short(self, size, *values):
+        if self.getsockname() != case.moment.run.listen:
+            return true_recv(self, size, *values)
+        calls[0] += 1
+        if calls[0] % 3 == 0:
+            raise OSError(errno.ENOMEM, os.strerror(errno.ENOMEM))
+        return true_recv(self, 1)
+
+    monkeypatch.setattr(socket.socket, "recv", short)
+    try:
+        case.asking.send(gets(1, b"late")[:30])
+        case.moment.until(lambda: not case.ours.between())
+        case.arrives(case.front.part, [case.ours], True, "drained", data=gets(1, b"late")[30:])
+        assert case.served() == "served"
+    finally:
+        monkeypatch.undo()
+        case.moment.stop()
+
+
+def test_a_connection_that_cannot_be_set_up_costs_no_other(monkeypatch):
+    """The listening port stays, whatever the first connection's set-up raises; so with epoll_ctl."""
+    node = Node("n0")
+    made = Moment().start(node)
+    build, failures = made.proxy.front.buildProtocol, [RuntimeError("planted")]
+    monkeypatch.setattr(
+        made.proxy.front, "buildProtocol", lambda addr: _raise(failures.pop()) if failures else build(addr)
+    )
+    true_start, refused = ClientTransport.__mro__[1].startReading, [3]
+
+    def start_reading(self):
+        if refused[0] and isinstance(self, ClientTransport):
+            refused[0] -= 1
+            raise OSError(errno.ENOMEM, os.strerror(errno.ENOMEM))
+        true_start(self)
+
+    monkeypatch.setattr(ClientTransport.__mro__[1], "startReading", start_reading)
+    try:
+        assert made.client().take() is None
+        asking = made.client()
+        asking.send(gets(1))
+        to_node = node.accept()
+        to_node.take()
+        to_node.send(hit())
+        assert asking.take() == b"v"
+    finally:
+        monkeypatch.undo()
+        made.stop()
+
+
+def _raise(fault):
+    raise fault
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_what_a_client_asked_that_has_gone_before_it_is_read_is_sent_nowhere(how):
+    """It was accepted late, or the process was held up: its request and its end lie there together."""
+    made = Moment().start(Node("n0"))
+    true_send, sent = made.proxy.nodes.send, []
+    made.proxy.nodes.send = lambda sending, *values: (sent.append(sending), true_send(sending, *values))
+    try:
+
+        def asks_and_goes() -> None:
+            asking = made.client()
+            asking.send(gets(1))
+            getattr(asking, how)()
+
+        made.turn(asks_and_goes)
+        made.until(lambda: made.proxy.port.sessionno and not made.proxy.front.clients)
+        assert sent == [] and not made.proxy.reqs
+    finally:
+        made.stop()
