Failing tests: a retry, and an attempt that waited, go out for a client whose end lies unread

A process that goes on after a hold-up may read a server's failure, or that a connection came up, before it reads that the client has gone; the attempt begins up to 0.15 s after the client's end, 0.1 s is the term.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -59,6 +59,9 @@
     def read_now(self):
         """Nothing has come that was not given to the protocol."""
 
+    def look_for_end(self):
+        return True
+
     def doRead(self):  # noqa: N802
         self.read_now()
 
--- a/tests/test_close.py
+++ b/tests/test_close.py
@@ -10,9 +10,11 @@
 import socket
 
 import pytest
-from helpers import client, get, hit, proxy, told
+from helpers import client, get, hit, link, proxy, told
 from moments import Moment, Node, gets
 from test_rig import ivy
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
 
 from ivystack.net.admin import Admin
 from ivystack.net.front import Client, Front
@@ -409,3 +411,36 @@
         assert sent == [] and not made.proxy.reqs
     finally:
         made.stop()
+
+
+def leaving(made):
+    """A client whose end lies unread in the kernel: it shows when somebody looks."""
+    asking = client(made)
+
+    def look() -> bool:
+        if asking.slot in made.front.clients:
+            asking.connectionLost(Failure(ConnectionDone()))
+        return False
+
+    asking.transport.look_for_end = look
+    return asking
+
+
+def test_nothing_is_tried_again_for_a_client_whose_end_lies_unread():
+    made = proxy(2)
+    asking = leaving(made)
+    asking.dataReceived(get(b"1"))
+    first = link(made)
+    assert len(made.reactor.tcpClients) == 1
+    first.dataReceived(b"-ERR failed\r\n")
+    assert len(made.reactor.tcpClients) == 1 and not made.reqs and not made.sendings
+    assert all(node.in_flight == 0 for node in made.choice.nodes.values())
+
+
+def test_what_waited_for_a_connection_is_not_written_for_a_client_whose_end_lies_unread():
+    made = proxy(1)
+    asking = leaving(made)
+    asking.dataReceived(get(b"1"))
+    made.reactor.advance(0.1)
+    assert link(made).transport.took() == b""
+    assert not made.reqs and not made.sendings and made.choice.in_flight == 0
