Before a retry, or what waited, goes out it is asked again whether the client is there

carry and free act on a server's word; the client's end may lie unread behind it after a hold-up. Where a request is not in its first turn (a further attempt, or 20 ms old) its client's connection is read first; if it has ended, the decisions are told that the attempt never went out. An attempt that waits for a request which is over is not written; the last answer (decisions that failed) calls off what is out. One recv for each such attempt, none for others.

--- a/ivystack/net/front.py
+++ b/ivystack/net/front.py
@@ -271,6 +271,11 @@
         self.transport.unregisterProducer()  # a paused one would keep the transport from closing
         self.close(code)
 
+    def still_there(self) -> bool:
+        """Whether it waits for its answers, as far as the kernel knows by now.  One that is being read, or
+        not to be read for now, is taken to be there: its end shows by itself."""
+        return self.reading or self.paused or self.deaf or self.transport.look_for_end()
+
     def reads_on(self) -> bool:
         """Nothing of what has come so far is owed an answer."""
         return not self.deaf and not self.owed
@@ -506,6 +511,7 @@
             write,
             fields.get(b"r") == b"1",
             upload,
+            client.still_there,
         )
         self.begin(place[1])  # only now: what it ends may let this client go, and this request with it
 
--- a/ivystack/net/listener.py
+++ b/ivystack/net/listener.py
@@ -19,6 +19,7 @@
 
 from loguru import logger
 from twisted.internet import main, tcp
+from twisted.python.failure import Failure
 
 NOTHING = frozenset({EAGAIN, EWOULDBLOCK})  # of recv: nothing has come
 MOMENTARY = frozenset({*NOTHING, EINTR, ENOMEM, ENOBUFS})  # of recv and send: try again
@@ -87,6 +88,16 @@
                 break
         return Rest.REQUEST
 
+    def look_for_end(self) -> bool:
+        """Whether the client is still there; what it has sent is read, and if it has gone that is told."""
+        if not self.connected:
+            return False
+        ended = self.doRead()
+        if ended is None:
+            return True
+        self.connectionLost(Failure(ended))
+        return False
+
     def startReading(self):  # noqa: N802
         self.ask_reactor(super().startReading)
 
--- a/ivystack/net/nodes.py
+++ b/ivystack/net/nodes.py
@@ -185,7 +185,11 @@
     LITTLE = 262_144  # bytes of an answer nobody wants that are sooner read than a connection made anew
     LINGER = 1_000_000  # for an answer nobody waits for: most late ones come by then, a hung node's never
 
-    def __init__(self, reactor, deadlines, now, ended, sockets, idle, connect_timeout, deep, aside, memory):
+    def __init__(
+        self, reactor, deadlines, now, ended, sockets, idle, connect_timeout, deep, aside, memory, wanted
+    ):
+        """`wanted` tells whether a request's client is still there."""
+        self.wanted = wanted
         self.reactor, self.deadlines, self.now = reactor, deadlines, now
         self.ended = ended  # told of each attempt's outcome, once, never from within `send`
         self.relaying: dict[Link, Relay] = {}
@@ -380,7 +384,11 @@
     def free(self, link: Link) -> None:
         place = link.place
         while place.waiting and not link.out:  # telling of one's end may have sent another on this link
-            if self.now() < place.waiting[0].attempt.latest:
+            sending = place.waiting[0]
+            if not self.wanted(sending.attempt.req):
+                self.end(sending, SUPERSEDED)  # its client has gone
+                continue
+            if self.now() < sending.attempt.latest:
                 return self.write(link, place.waiting.popleft())
             self.end(place.waiting[0], SUPERSEDED)  # the link came too late for its window, not for its time
         if link.out:
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -14,7 +14,8 @@
 from twisted.python.failure import Failure
 
 from ..model import (  # fmt: skip
-    CLIENT_GONE, DONE, FAIL, GO, LEAVING, LEFT, NACK, READY, SATISFIED, WAIT, Node, Req, Attempt, figures,
+    CLIENT_GONE, DONE, FAIL, GO, LEAVING, LEFT, NACK, READY, SATISFIED, SUPERSEDED, WAIT, Attempt, Node, Req,
+    figures,
 )
 from ..settings import Run, address, doubtful
 from .admin import Admin
@@ -36,9 +37,10 @@
 class Held:
     """A req in hand: what came, and how to answer."""
 
-    __slots__ = ("req", "frame", "upload", "wait", "reply", "slot", "last_call", "place_by")
+    __slots__ = ("req", "frame", "upload", "wait", "reply", "still_there", "slot", "last_call", "place_by")
 
-    def __init__(self, req: Req, frame: Frame, reply, upload: Upload | None, wait: int):
+    def __init__(self, req: Req, frame: Frame, reply, upload: Upload | None, wait: int, still_there):
+        self.still_there = still_there
         self.req, self.frame, self.reply, self.slot = req, frame, reply, -1
         self.upload, self.wait = upload, wait
         self.last_call: list | None = None
@@ -50,6 +52,7 @@
     LAST = 2_000  # after its end a req is answered whatever the decisions do; they come first
     BACKLOG = 1024  # clients that the kernel keeps for us until we accept them
     listen = staticmethod(listen)
+    LOOK_AGAIN = 20_000  # so much later it is asked again whether a request's client is there
     LET_GO = 100_000  # before the address for datagrams is tried again
     STAY = 500_000  # served on after SIGTERM: new connections go on coming for part of it
     # Then for commands that are still coming.  From 0.7 s on nothing is taken: SIGKILL comes that long after
@@ -72,7 +75,7 @@
         self.useless: deque[int] = deque(maxlen=64)  # the list's entries that can't be used and were told
         self.nodes = Nodes(
             reactor, self.deadlines, self.now, self.ended, run.sockets, run.idle, run.connect_timeout,
-            self.deep(), self.aside(), run.memory // Front.HELD,
+            self.deep(), self.aside(), run.memory // Front.HELD, self.wanted,
         )  # fmt: skip
         most = run.sockets - self.nodes.most - Front.SPARE
         self.front = Front(
@@ -278,21 +281,21 @@
 
     def admit(
         self, reply, frame: Frame, method, wait: int, key: int, tenant, write, repeat,
-        upload: Upload | None = None,
+        upload: Upload | None, still_there,
     ) -> int:  # fmt: skip
         now = self.now()
         if self.ending:
             wait = max(0, min(wait, self.last_answer_at - now))
         arrives = now if upload is None else now + self.COMING
         req = Req(method, arrives, arrives + wait, key, tenant, write, repeat)
-        held = Held(req, frame, reply, upload, wait)
+        held = Held(req, frame, reply, upload, wait, still_there)
         if upload is not None:
             upload.req, upload.through = req, self.through
             upload.rest = max(1, (self.choice.end(req) - arrives) // 1000)
         held.slot = self.reqs.put(held)
         self.held[req] = held
         # Guards against a req that failing decisions have lost: its client gets an answer all the same.
-        held.last_call = self.deadlines.at(req.give_up_at + self.LAST, self.answer, req, FAIL)
+        held.last_call = self.deadlines.at(req.give_up_at + self.LAST, self.last_answer, req)
         return held.slot
 
     def begin_on(self, slot: int) -> None:
@@ -316,7 +319,7 @@
         attempt.sent, attempt.until = now, self.choice.end(req)
         self.nodes.through(self.sendings[attempt], attempt.until)
         self.deadlines.drop(held.last_call)
-        held.last_call = self.deadlines.at(req.give_up_at + self.LAST, self.answer, req, FAIL)
+        held.last_call = self.deadlines.at(req.give_up_at + self.LAST, self.last_answer, req)
 
     def cut(self, upload: Upload) -> None:
         """A long write will never come whole."""
@@ -354,6 +357,11 @@
             self.close(held)
             held.reply(word, what)
 
+    def last_answer(self, req: Req) -> None:
+        """Its time is over and it has no answer: nor may it be sent on, where decisions failed."""
+        self.answer(req, FAIL)
+        self.call_off([attempt for attempt in req.attempts if attempt in self.sendings])
+
     def trace_answer(self, held: Held, word: str, what) -> None:
         """Logs a request's final answer, and for a refusal or failure what had become of its attempts."""
         attempts = held.req.attempts
@@ -381,6 +389,9 @@
         elif req.closing:
             if word == GO:
                 self.nodes.release(node.name)
+        elif word == GO and not self.wanted(req):
+            self.ends.append((req.attempts[-1], SUPERSEDED, {}, False))  # it never went out
+            self.settle()
         elif word == GO:
             attempt, held = req.attempts[-1], self.held[req]
             self.deadlines.drop(held.place_by)
@@ -399,6 +410,14 @@
             logger.error("decisions failed: a req was let go without an answer")
             self.answer(req, FAIL)
 
+    def wanted(self, req: Req) -> bool:
+        """Whether the request's client is still there.  Asked before what goes out later than in the turn
+        that read the request: after a hold-up the client's end may lie unread behind what is acted on."""
+        if len(req.attempts) <= 1 and self.now() - req.arrived < self.LOOK_AGAIN:
+            return True
+        held = self.held.get(req)
+        return held is not None and held.still_there() and req in self.held
+
     def seek(self, held: Held | None) -> None:
         """A long write's time has not begun: what the decisions give one to find a place is given here."""
         if held is None or held.upload is None or held.upload.whole or held.req.once:
