--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 import lab
 
-NODES, CLIENTS, SECONDS = 3, 8, 70
+NODES, CLIENTS, SECONDS = 3, 8, 55
 REQUESTS_PER_S = 320  # of all clients together; the pages: 200 to 320 requests a second come to a proxy
 BATCH = 100  # commands that a client sends at once; the pages: clients send many commands at once
 WRITES = 8  # of them; the pages: sign-submit is 7.9% of the traffic
@@ -47,9 +47,11 @@
     async def send(self, commands):
         """Write one command after the other, without waiting for answers."""
         self.client.record("sent", f"{commands[0][0]} to {commands[-1][0]}")
+        may_cross = not self.waiting  # the connection rests, and the proxy may be closing it
         try:
             for ident, key, data in commands:
-                self.waiting.append((ident, key))
+                self.waiting.append((ident, key, data, may_cross))
+                may_cross = False
                 self.more.set()
                 await asyncio.get_running_loop().sock_sendall(self.sock, data)
                 await asyncio.sleep(0)
@@ -62,10 +64,15 @@
             while not self.waiting:
                 self.more.clear()
                 await self.more.wait()
-            ident, key = self.waiting[0]
+            ident, key, _, may_cross = self.waiting[0]
             try:
                 answer = await asyncio.wait_for(stream.value(), 10)
             except (OSError, asyncio.TimeoutError) as error:
+                if may_cross and not any(one[0] in node.begun for one in self.waiting for node in self.client.nodes):
+                    # The close crossed commands that the proxy has not read: they are sent once more.
+                    self.client.record("crossed", f"{ident} and {len(self.waiting) - 1} more")
+                    self.client.crossed.append([one[:3] for one in self.waiting])
+                    break
                 breaks.append(f"id={ident} and {len(self.waiting) - 1} more on its connection have no answer: "
                               f"{type(error).__name__}; the answer before: {self.last!r:.40}")
                 break
@@ -92,6 +99,7 @@
     def __init__(self, number, proxy, record, nodes, counts):
         self.number, self.proxy, self.record, self.nodes, self.counts = number, proxy, record, nodes, counts
         self.random, self.count, self.breaks, self.connections = random.Random(number), 0, [], []
+        self.crossed = []  # commands to be sent once more, on a new connection
 
     def commands(self):
         batch, writes = [], self.random.sample(range(BATCH), WRITES)
@@ -118,7 +126,17 @@
         self.connections.append(Connection(await self.proxy.connect(), self))
         return self.connections[-1]
 
+    async def send_crossed(self):
+        """Send once more, on new connections, what crossed the end of a connection."""
+        while True:
+            while self.crossed:
+                commands = self.crossed.pop()
+                self.connections.append(Connection(await self.proxy.connect(), self))
+                await self.connections[-1].send(commands)
+            await asyncio.sleep(0.005)
+
     async def run(self, until):
+        resending = asyncio.ensure_future(self.send_crossed())
         interval = BATCH * CLIENTS / REQUESTS_PER_S
         due = self.record.now() + interval * self.random.random()
         while due < until:
@@ -131,6 +149,8 @@
                     await asyncio.sleep(max(0.0, due + place * interval / BATCH - self.record.now()))
                     await (await self.connection(may_wait=False)).send([one])
             due += interval
+        await asyncio.sleep(1)
+        resending.cancel()
         for connection in self.connections:
             await connection.finish()
 
