Review case 1: count only requests whose last byte was written

A command that was still being written when its connection ended is not taken by the rule; the check counted it.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -42,6 +42,7 @@
     def __init__(self, sock, client):
         self.sock, self.client = sock, client
         self.waiting, self.more, self.ended, self.last = deque(), asyncio.Event(), False, None
+        self.written = set()  # ids of the commands whose last byte is written: only these are taken
         self.reading = asyncio.ensure_future(self.read())
 
     async def send(self, commands):
@@ -54,6 +55,7 @@
                 may_cross = False
                 self.more.set()
                 await asyncio.get_running_loop().sock_sendall(self.sock, data)
+                self.written.add(ident)
                 await asyncio.sleep(0)
         except OSError:
             pass  # the reader reports it
@@ -73,8 +75,10 @@
                     self.client.record("crossed", f"{ident} and {len(self.waiting) - 1} more")
                     self.client.crossed.append([one[:3] for one in self.waiting])
                     break
-                breaks.append(f"id={ident} and {len(self.waiting) - 1} more on its connection have no answer: "
-                              f"{type(error).__name__}; the answer before: {self.last!r:.40}")
+                taken = [one[0] for one in self.waiting if one[0] in self.written]
+                if taken:
+                    breaks.append(f"id={taken[0]} and {len(taken) - 1} more on its connection have no answer: "
+                                  f"{type(error).__name__}; the answer before: {self.last!r:.40}")
                 break
             self.waiting.popleft()
             self.last, kind = answer, lab.classify(answer)
