Reject a long write in its client's time when the server takes nothing more

Cause: a long write had no deadline before the proxy had passed on its last byte, and a new one from there; while the server accepts nothing its client is not read, and only the 10 s stall timeout ended that. Now the timeout runs from the header on, except while the connection is read and nothing is unread: whatever else delays the last byte counts, for it may have been written long before. Time limits of long writes have a module of their own; the server's silence counts as its failure. Two tests that pinned a stop of 9 and 10 s under a timeout of 0.9 s contradicted the rule; they state longer timeouts now and check the same. Cost: one ioctl for each piece that is read.

--- a/ivystack/net/active_request.py
+++ b/ivystack/net/active_request.py
@@ -20,6 +20,7 @@
     frame: RequestFrame
     reply: Callable[[Reply], None]  # called at most once
     upload: RequestStream | None  # the value of a long write
+    admitted_at: int  # microseconds; for a long write, when its header had arrived
     client_timeout: int  # microseconds that the client waits
     is_connected: Callable[[], bool]  # whether the client is still connected
     slot: int = -1  # in the table of active requests
--- a/ivystack/net/client_connection.py
+++ b/ivystack/net/client_connection.py
@@ -81,6 +81,8 @@
         if self.input_closed or self.paused or self.at_message_boundary():
             return self._stop_command_timeout()
         self.last_input_at = self.server.now()
+        if self.upload is not None and not self.transport.unread_bytes():
+            self.upload.clock.start(self.last_input_at)
         self.command_begun()
         if self in self.server.unused_connections:
             self.server.unused_connections.move_to_end(self)
@@ -268,6 +270,8 @@
 
     def pause_reading(self) -> None:
         """Pause reading; a hang-up is still noticed."""
+        if self.upload is not None:
+            self.upload.clock.stop(self.server.now())
         super().pauseProducing()
         self.server.hang_up_monitor.watch(self)
 
--- a/ivystack/net/listener.py
+++ b/ivystack/net/listener.py
@@ -14,7 +14,10 @@
 from __future__ import annotations
 
 import enum
+import fcntl
 import socket
+import sys
+import termios
 from collections.abc import Callable
 from errno import (  # fmt: skip
     EAGAIN,
@@ -107,6 +110,12 @@
                 break
         return ReadResult.REQUEST
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes have arrived that were not read; 0 on a closed connection."""
+        if not self.connected:
+            return 0
+        return int.from_bytes(fcntl.ioctl(self.socket.fileno(), termios.FIONREAD, bytes(4)), sys.byteorder)
+
     def look_for_end(self) -> bool:
         """Return whether the client is still connected; read its input, and handle a hang-up."""
         if not self.connected:
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -106,7 +106,7 @@
                 admit=handler.admit,
                 begin=handler.begin,
                 abandon=handler.abandon,
-                abort_upload=handler.upload_aborted,
+                abort_upload=handler.long_writes.aborted,
                 is_ready=self.has_ready_server,
             ),
             self.settings.request_classes,
--- a/ivystack/net/reply.py
+++ b/ivystack/net/reply.py
@@ -6,6 +6,8 @@
 
 from .streams import ResponseStream
 
+MICROSECONDS_PER_MILLISECOND = 1_000
+
 
 @dataclass(frozen=True, slots=True)
 class Value:
@@ -27,3 +29,8 @@
 
 
 Reply = Value | Rejected | Failed
+
+
+def rejected(retry_after: int) -> Rejected:
+    """Return a rejection whose retry delay, given in microseconds, is rounded up to milliseconds."""
+    return Rejected(-(-retry_after // MICROSECONDS_PER_MILLISECOND))
--- a/ivystack/net/request_handler.py
+++ b/ivystack/net/request_handler.py
@@ -38,18 +38,17 @@
 from .deadlines import Deadline, DeadlineQueue
 from .gossip_socket import GossipSocket
 from .in_flight_attempt import InFlightAttempt
-from .reply import Failed, Rejected, Reply, Value
+from .long_writes import MAX_TRANSFER_US, LongWrites
+from .reply import Failed, Rejected, Reply, Value, rejected
 from .resp import MAX_ARGUMENT
 from .server_pools import ServerPools
 from .slot_table import SlotTable
-from .streams import RequestStream, ResponseStream
+from .streams import ResponseStream
 from .trace import trace
 
-UPLOAD_TIMEOUT_US = 60_000_000  # to receive a long write; the client's timeout starts after the last byte
 ANSWER_GRACE_US = 2_000  # from a request's deadline until it fails; the balancer can act before that
 CLIENT_CHECK_AGE_US = 20_000  # age of a request from which its client is checked before each attempt
 BALANCER_RETRY_DELAY_US = 50_000  # after `next_wakeup` has raised an exception
-PLACEMENT_TIMEOUT_DIVISOR = 8  # a long write waits for a server for 1/8 of its timeout at most
 MICROSECONDS_PER_MILLISECOND = 1_000
 
 
@@ -82,6 +81,7 @@
         self.in_flight: dict[Attempt, InFlightAttempt] = {}
         # Microseconds: the time by which all requests must be answered, once the process is terminating.
         self.answer_by: int | None = None
+        self.long_writes = LongWrites(self)
         self._ended: deque[EndedAttempt] = deque()
         self._is_running = False  # `run_due` is running or deferred
         self._wakeup: Deadline | None = None
@@ -101,7 +101,8 @@
         now, upload, timeout = self.now(), client_request.upload, client_request.timeout
         if self.answer_by is not None:
             timeout = max(0, min(timeout, self.answer_by - now))
-        arrives_at = now if upload is None else now + UPLOAD_TIMEOUT_US
+        # The balancer learns when a long write has arrived from `LongWrites.sent`.
+        arrives_at = now if upload is None else now + MAX_TRANSFER_US
         request = Request(
             client_request.request_class,
             arrives_at,
@@ -112,15 +113,19 @@
             client_request.is_client_retry,
         )
         active = ActiveRequest(
-            request, client_request.frame, client_request.reply, upload, timeout, client_request.is_connected
+            request,
+            client_request.frame,
+            client_request.reply,
+            upload,
+            now,
+            timeout,
+            client_request.is_connected,
         )
         if upload is not None:
-            upload.request, upload.on_sent = request, self.upload_sent
-            server_timeout = self.balancer.retry_policy.answer_deadline(request) - arrives_at
-            upload.server_timeout_ms = max(1, server_timeout // MICROSECONDS_PER_MILLISECOND)
+            self.long_writes.admit(active, upload)
         active.slot = self.requests.add(active)
         self.active[request] = active
-        self._start_answer_deadline(active)
+        self.start_answer_deadline(active)
         return active.slot
 
     def begin(self, slot: int) -> None:
@@ -134,26 +139,6 @@
             logger.exception("request could not be started; answering it as failed")
             self.answer(request, Failed())
 
-    def upload_sent(self, upload: RequestStream) -> None:
-        """Start the timeouts of a long write, which the server can execute once its last byte was sent."""
-        active = None if upload.request is None else self.active.get(upload.request)
-        if active is None:
-            return
-        request, now = active.request, self.now()
-        request.arrived_at, request.deadline = now, now + active.client_timeout
-        attempt = request.attempts[-1]
-        attempt.sent_at, attempt.timeout_at = now, self.balancer.retry_policy.answer_deadline(request)
-        self.server_pools.restart_timeout(self.in_flight[attempt], attempt.timeout_at)
-        if active.answer_deadline is not None:
-            active.answer_deadline.cancel()
-        self._start_answer_deadline(active)
-
-    def upload_aborted(self, upload: RequestStream) -> None:
-        """Fail a long write that will never be complete."""
-        request = cast(Request, upload.request)  # set when the request was admitted
-        self.answer(request, Failed())
-        self.cancel(request.outstanding())
-
     def abandon(self, slots: list[int]) -> None:
         """Drop the requests in these slots, whose client has disconnected.
 
@@ -193,15 +178,28 @@
         # The check may read the client's hang-up, and so abandon the request.
         return active is not None and active.is_connected() and request in self.active
 
-    def _start_answer_deadline(self, active: ActiveRequest) -> None:
+    def start_answer_deadline(self, active: ActiveRequest) -> None:
         """Schedule the request's failure, so that it is answered even if the balancer loses track of it."""
-        request = active.request
-        due_at = request.deadline + ANSWER_GRACE_US
-        active.answer_deadline = self.deadlines.call_at(due_at, self._answer_deadline_expired, request)
+        if active.answer_deadline is not None:
+            active.answer_deadline.cancel()
+        due_at = self._latest_answer(active) + ANSWER_GRACE_US
+        active.answer_deadline = self.deadlines.call_at(due_at, self._answer_deadline_expired, active)
+
+    def _latest_answer(self, active: ActiveRequest) -> int:
+        """Return the time by which a request must be answered; that of a long write may move on."""
+        if active.upload is None or active.upload.sent:
+            return active.request.deadline
+        return self.long_writes.deadline(active, active.upload)
 
-    def _answer_deadline_expired(self, request: Request) -> None:
-        self.answer(request, Failed())
-        self.cancel([attempt for attempt in request.attempts if attempt in self.in_flight])
+    def _answer_deadline_expired(self, active: ActiveRequest) -> None:
+        request = active.request
+        if self._latest_answer(active) > self.now():
+            self.start_answer_deadline(active)
+        elif active.upload is not None and not active.upload.sent:
+            self.long_writes.timed_out(active)
+        else:
+            self.answer(request, Failed())
+            self.cancel([attempt for attempt in request.attempts if attempt in self.in_flight])
 
     def _close(self, active: ActiveRequest) -> None:
         active.request.concluded = True
@@ -243,7 +241,7 @@
             case Send(server, timeout_at):
                 self.send(request, server, timeout_at)
             case Wait():
-                self.start_placement_timeout(self.active.get(request))
+                self.long_writes.start_placement_timeout(self.active.get(request))
             case Reject(retry_after):
                 self.answer(request, rejected(retry_after))
             case Fail():
@@ -264,23 +262,6 @@
             trace.step(active.frame.request_id, "attempt", number=number, server=server.name, left_ms=left_ms)
         self.server_pools.send(in_flight, server.name, timeout_at)
 
-    def start_placement_timeout(self, active: ActiveRequest | None) -> None:
-        """Limit the time for which a long write waits for a server.
-
-        The balancer limits the wait of other requests.  It can't do so for a long write, whose timeout has
-        not started.
-        """
-        if active is None or active.upload is None or active.upload.sent or active.request.partly_sent:
-            return
-        if active.placement_deadline is None or not active.placement_deadline.is_pending:
-            due_at = self.now() + active.client_timeout // PLACEMENT_TIMEOUT_DIVISOR
-            active.placement_deadline = self.deadlines.call_at(due_at, self.placement_timed_out, active)
-
-    def placement_timed_out(self, active: ActiveRequest) -> None:
-        """Reject a long write, unless an attempt is in flight."""
-        if all(attempt.outcome for attempt in active.request.attempts):
-            self.answer(active.request, rejected(self.balancer.parameters.retry_after))
-
     def cancel(self, attempts: list[Attempt]) -> None:
         """Cancel the attempts that are still in flight."""
         for attempt in attempts:
@@ -391,8 +372,3 @@
     def _wakeup_due(self) -> None:
         self._wakeup = None
         self.run_due()
-
-
-def rejected(retry_after: int) -> Rejected:
-    """Return a rejection whose retry delay, given in microseconds, is rounded up to milliseconds."""
-    return Rejected(-(-retry_after // MICROSECONDS_PER_MILLISECOND))
--- a/ivystack/net/server_pools.py
+++ b/ivystack/net/server_pools.py
@@ -147,7 +147,7 @@
     def send(self, in_flight: InFlightAttempt, server: str, timeout_at: int) -> None:
         """Send an attempt on a connection to the server, or queue it until there is one."""
         pool = in_flight.pool = self.pools[server]
-        in_flight.deadlines.append(self.deadlines.call_at(timeout_at, self._attempt_timed_out, in_flight))
+        in_flight.deadlines.append(self.deadlines.call_at(timeout_at, self.time_out, in_flight))
         connection = self._idle_connection(pool) or self._pipelined_connection(pool, in_flight, timeout_at)
         if connection is not None:
             connection.send_attempt(in_flight)
@@ -211,10 +211,14 @@
         """Cancel an attempt whose answer is no longer needed."""
         self._abandon(in_flight, Outcome.CANCELLED)
 
+    def time_out(self, in_flight: InFlightAttempt) -> None:
+        """End an attempt whose answer did not come in time."""
+        self._abandon(in_flight, Outcome.TIMED_OUT)
+
     def restart_timeout(self, in_flight: InFlightAttempt, timeout_at: int) -> None:
         """Restart the timeout of an attempt after the last byte of its long write was sent."""
         in_flight.cancel_deadlines()
-        in_flight.deadlines = [self.deadlines.call_at(timeout_at, self._attempt_timed_out, in_flight)]
+        in_flight.deadlines = [self.deadlines.call_at(timeout_at, self.time_out, in_flight)]
 
     def finish(
         self, in_flight: InFlightAttempt, outcome: Outcome, value: bytes | ResponseStream | None = None
@@ -242,9 +246,6 @@
                 self.finish(in_flight, outcome)
                 outcome = Outcome.CANCELLED
 
-    def _attempt_timed_out(self, in_flight: InFlightAttempt) -> None:
-        self._abandon(in_flight, Outcome.TIMED_OUT)
-
     def _connection_wait_expired(self, in_flight: InFlightAttempt) -> None:
         if in_flight.connection is not None:
             return
--- a/ivystack/net/streams.py
+++ b/ivystack/net/streams.py
@@ -11,6 +11,7 @@
 
 from .deadlines import Deadline
 from .resp import MAX_BUFFERED_VALUE
+from .transfer_clock import TransferClock
 
 if TYPE_CHECKING:
     from ..model import Request
@@ -116,11 +117,13 @@
         self.discarding = False  # the rest is read and discarded
         self.buffered: list[bytes] = []  # pieces that arrived before a server's connection was assigned
         self.stall_deadline: Deadline | None = None
+        self.clock = TransferClock()
 
     # Called by the client's connection.
 
     def piece_received(self, data: bytes) -> None:
         """Write a piece to the server, or buffer it until a server's connection is assigned."""
+        self.clock.stop(self.client.server.now())
         if self.discarding:
             return
         if self.server_connection is not None:
@@ -131,6 +134,7 @@
     def end_received(self) -> None:
         """Finish the write, because the client's last byte has arrived."""
         self.received = True
+        self.clock.stop(self.client.server.now())
         if self.server_connection is not None:
             self._finish()
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -168,6 +168,9 @@
     def look_for_end(self):
         return True
 
+    def unread_bytes(self):
+        return 0  # a test passes input to the protocol directly
+
     def doRead(self):  # noqa: N802
         self.read_now()
 
--- a/tests/test_upload.py
+++ b/tests/test_upload.py
@@ -120,7 +120,9 @@
 
 
 def test_reading_from_the_client_pauses_while_the_server_does_not_read():
-    proxy, client, connection = start_write()
+    proxy, client, connection = start_write(
+        head=HEAD.replace(b"$15\r\nc=pay,t=t,d=900", b"$16\r\nc=pay,t=t,d=9500")
+    )
     connection.transport.producer.pauseProducing()  # as the transport does when its buffer is full
     assert client.transport.producerState == "paused"
     proxy.reactor.advance(9)  # the client is not timed out for the server's pause
@@ -133,7 +135,9 @@
 
 
 def test_a_server_that_does_not_read_is_dropped():
-    proxy, client, connection = start_write()
+    proxy, client, connection = start_write(
+        head=HEAD.replace(b"$15\r\nc=pay,t=t,d=900", b"$17\r\nc=pay,t=t,d=20000")
+    )
     connection.transport.producer.pauseProducing()
     proxy.reactor.advance(10)
     assert connection.code == "stalled"
@@ -141,6 +145,61 @@
     assert client.transport.take_output() == b"-BUSY\r\n"  # it was not executed
 
 
+def test_a_long_write_to_a_server_that_does_not_read_is_rejected_within_the_clients_timeout():
+    # Guards against an answer 10 s after the write was taken: its last byte may lie unread (review case 3).
+    proxy, client, connection = start_write()
+    proxy.reactor.advance(0.2)
+    connection.transport.producer.pauseProducing()
+    client.transport.unread_bytes = lambda: len(LONG)
+    proxy.reactor.pump([0.1] * 11)  # 0.9 s without the 0.2 s in which the client sent nothing
+    assert client.transport.take_output() == b"-BUSY\r\n" and connection.code == "out-of-time"
+    assert not proxy.request_handler.active and not proxy.request_handler.in_flight
+    assert proxy.balancer.servers["n0"].health.consecutive_failures == 1
+    client.dataReceived(LONG[1000:] + TAIL + encode_command(b"PING"))
+    assert client.transport.take_output() == b"+PONG\r\n"
+
+
+def test_the_pauses_of_a_slow_server_add_up():
+    # Guards against a deadline that each piece moves on: all of them may have been written long before.
+    proxy, client, connection = start_write()
+    client.transport.unread_bytes = lambda: len(LONG)
+    for start in range(1000, 9000, 1000):
+        connection.transport.producer.pauseProducing()
+        proxy.reactor.advance(0.1)
+        connection.transport.producer.resumeProducing()
+        client.dataReceived(LONG[start : start + 1000])
+    assert client.transport.take_output() == b""
+    connection.transport.producer.pauseProducing()
+    proxy.reactor.advance(0.12)
+    assert client.transport.take_output() == b"-BUSY\r\n"
+
+
+def test_what_a_slow_server_took_of_the_timeout_is_missing_after_the_last_byte():
+    proxy, client, connection = start_write()
+    client.transport.unread_bytes = lambda: len(LONG)
+    connection.transport.producer.pauseProducing()
+    proxy.reactor.advance(0.6)
+    connection.transport.producer.resumeProducing()
+    client.dataReceived(LONG[1000:] + TAIL)
+    assert connection.transport.take_output().endswith(TAIL)
+    proxy.reactor.advance(0.28)
+    assert client.transport.take_output() == b""
+    proxy.reactor.advance(0.03)
+    assert client.transport.take_output() == b"-ERR failed\r\n"  # it may have been executed
+
+
+def test_the_time_of_a_slow_client_does_not_count_towards_its_timeout():
+    proxy, client, connection = start_write()
+    for start in range(1000, 9000, 1000):
+        proxy.reactor.advance(0.8)
+        client.dataReceived(LONG[start : start + 1000])
+    connection.transport.producer.pauseProducing()
+    proxy.reactor.advance(0.88)
+    assert client.transport.take_output() == b""
+    proxy.reactor.advance(0.03)
+    assert client.transport.take_output() == b"-BUSY\r\n"
+
+
 def test_an_answer_to_an_incomplete_write_ends_the_attempt():
     for early, answer in ((b"-BUSY\r\n", b"-BUSY\r\n"), (encode_hit(), b"-ERR failed\r\n")):
         proxy, client, connection = start_write()
