--- a/ivystack/rig/scenario.py
+++ b/ivystack/rig/scenario.py
@@ -100,7 +100,8 @@
     error: str = "EMFILE"  # syscall: the error that the call returns
     factor: Positive = 10.0  # node-slow, origin-slow
     part: Fraction = 0.5  # node-fail, loss, twice, leave, syscall
-    how: Literal["twice", "noise", "break"] = "break"  # node-spoil: the kind of invalid answer
+    # node-spoil: the kind of invalid answer; late: a second copy some milliseconds after the answer
+    how: Literal["twice", "late", "noise", "break"] = "break"
     ms: Seconds = 50.0  # delay
     jitter_ms: Seconds = 0.0
     bytes: Annotated[int, Meta(ge=0)] = 1000  # rate: bytes per second; reset: bytes passed before the reset
--- a/ivystack/standin/node.py
+++ b/ivystack/standin/node.py
@@ -17,6 +17,7 @@
 from .ledger import Ledger, ReceivedCommand
 
 BUSY, FAILED, SYNTAX_ERROR = b"-BUSY\r\n", b"-ERR failed\r\n", b"-SYNTAX\r\n"
+LATE_COPY_SECONDS = (0.001, 0.016)  # from a reply to its copy
 DEADLINE_FIELD = re.compile(rb"(?:^|,)d=(\d+)")
 
 
@@ -49,6 +50,7 @@
         super().__init__()
         self.node, self.proxy = node, proxy
         self.pending_replies: deque[list] = deque()
+        self.last_command: Command | None = None  # the last one that was replied to
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
@@ -128,7 +130,8 @@
         self.address: tuple[str, int] | None = None
         self.draining = False
         # Injected faults: commands get no reply; service takes `slowdown` times as long; this share of the
-        # commands fails; replies are corrupted in the given way ("twice", "noise" or "break").
+        # commands fails; replies are corrupted in the given way ("twice", "late" for a second copy that comes
+        # late, "noise" or "break").
         self.unresponsive = False
         self.slowdown, self.failure_rate, self.corruption = 1.0, 0.0, ""
         self.ids: list[bytes] = []
@@ -262,5 +265,15 @@
         elif self.corruption == "break":
             connection.transport.write(reply[: len(reply) // 2])
             return connection.transport.abortConnection()
+        elif self.corruption == "late":
+            self.reactor.callLater(self.rng.uniform(*LATE_COPY_SECONDS), self.send_copy, command, reply)
         command.reply_slot[0] = reply
+        command.connection.last_command = command
         connection.flush()
+
+    def send_copy(self, command: Command, reply: bytes) -> None:
+        """Send a reply once more, if no command came after its own and its connection is open."""
+        connection = command.connection
+        if connection in self.proxy_connections and not connection.pending_replies:
+            if connection.last_command is command:
+                connection.transport.write(reply)
--- a/tests/test_duplicate_answers.py
+++ b/tests/test_duplicate_answers.py
@@ -2,6 +2,7 @@
 
 import pytest
 from helpers import connect_client, encode_get, encode_hit, make_proxy, open_server_connection
+from test_rig import run_ivystack
 
 from ivystack.model import Outcome
 from ivystack.net.reply_verifier import PING, Reply, ReplyVerifier, SurplusRepliesError, fingerprint
@@ -113,3 +114,9 @@
     else:
         assert "".join(reply.value[0] for reply in verifier.resolve(expected)) == answers
     assert not verifier.held_count
+
+
+def test_real_processes_serve_no_late_copy():
+    # Guards against a client being served with an answer that no server made for its request (issue 63).
+    code, output, _ = run_ivystack("rig", "play", "late-copies", "--seconds", "5", "--quiet")
+    assert code == 0, output
