End a long write before SIGKILL when its last byte comes after SIGTERM

Callers got no answer before the process was killed. Cause: the deadline of a long write began anew with its last byte, without the time by which a terminating process has to answer. Now LongWrites.deadline is bounded by it.

--- a/ivystack/net/long_writes.py
+++ b/ivystack/net/long_writes.py
@@ -38,7 +38,9 @@
     def deadline(self, active: ActiveRequest, upload: RequestStream) -> int:
         """Return the time by which a long write must be answered, as far as it is known now."""
         waited = min(upload.clock.waited(self.handler.now()), MAX_TRANSFER_US)
-        return active.admitted_at + active.client_timeout + waited
+        deadline = active.admitted_at + active.client_timeout + waited
+        answer_by = self.handler.answer_by
+        return deadline if answer_by is None else min(deadline, answer_by)
 
     def sent(self, upload: RequestStream) -> None:
         """Set the timeouts of a long write, which the server can execute once its last byte was sent."""
--- a/tests/test_upload.py
+++ b/tests/test_upload.py
@@ -5,6 +5,7 @@
 import threading
 import time
 
+import pytest
 from helpers import S, connect_client, encode_get, encode_hit, open_server_connection, make_proxy
 from ivystack.standin.apart import Node
 from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
@@ -200,6 +201,20 @@
     assert client.transport.take_output() == b"-BUSY\r\n"
 
 
+@pytest.mark.parametrize("arrives", [True, False])
+def test_a_long_write_is_answered_before_a_terminating_process_is_killed(arrives):
+    # Guards against a deadline beyond SIGKILL, if the last byte comes late after SIGTERM.
+    proxy, client, connection = start_write()
+    proxy.request_handler.answer_by = proxy.now() + 3 * S // 2  # as `Proxy.terminate` sets it
+    proxy.reactor.advance(1.2)
+    if arrives:
+        client.dataReceived(LONG[1000:] + TAIL)
+    proxy.reactor.advance(0.28)
+    assert client.transport.take_output() == b""
+    proxy.reactor.advance(0.03)
+    assert client.transport.take_output() == (b"-ERR failed\r\n" if arrives else b"-BUSY\r\n")
+
+
 def test_an_answer_to_an_incomplete_write_ends_the_attempt():
     for early, answer in ((b"-BUSY\r\n", b"-BUSY\r\n"), (encode_hit(), b"-ERR failed\r\n")):
         proxy, client, connection = start_write()
