Stop sending a long write whose client has left

Servers got the last bytes up to 1 s after the client had gone. Cause: the position of a long write's last byte was never set, so that an attempt counted as sent while the transport still held its end, and its connection was kept. Now it is set when the last byte is passed on.

--- a/ivystack/net/long_writes.py
+++ b/ivystack/net/long_writes.py
@@ -54,7 +54,10 @@
         attempt = request.attempts[-1]
         attempt.sent_at = handler.now()
         attempt.timeout_at = handler.balancer.retry_policy.answer_deadline(request)
-        handler.server_pools.restart_timeout(handler.in_flight[attempt], attempt.timeout_at)
+        in_flight = handler.in_flight[attempt]
+        assert in_flight.connection is not None
+        in_flight.end_position = in_flight.connection.bytes_written
+        handler.server_pools.restart_timeout(in_flight, attempt.timeout_at)
         handler.start_answer_deadline(active)
 
     def aborted(self, upload: RequestStream) -> None:
--- a/tests/test_upload.py
+++ b/tests/test_upload.py
@@ -97,6 +97,15 @@
     assert not proxy.balancer.servers["n0"].health.consecutive_failures  # not counted against the server
 
 
+def test_a_client_that_disconnects_after_its_long_write_ends_what_is_still_buffered():
+    # Guards against bytes that go to the server for up to a second after the client has left.
+    proxy, client, connection = start_write(may_duplicate=True, streams_per_conn=100)
+    client.dataReceived(LONG[1000:] + TAIL)
+    connection.transport.dataBuffer = TAIL  # the kernel has not taken the last bytes
+    client.connectionLost(Failure(ConnectionDone()))
+    assert connection.transport.disconnected and not proxy.request_handler.in_flight
+
+
 def test_a_long_write_of_a_wrong_length_is_never_completed():
     proxy, client, connection = start_write()
     client.dataReceived(LONG[1000:] + b"more than said")
