Repeat an unanswered call to a new discovery address within 4 s

Servers that drained right after SIGHUP had moved discovery were sent to for 5 s. Cause: one silence timeout, 5 s, for a term of 6 s and one of 4 s. Now a call to a new address is given up after 1.5 s until a line has come from it. The test fails on in both forms and passes here.

--- a/ivystack/net/endpoint_watch.py
+++ b/ivystack/net/endpoint_watch.py
@@ -80,6 +80,10 @@
     # Microseconds from the last activity to the next request at the latest.  Changes must be known within
     # 6 s, of which 0.5 s is for the answer.
     UPDATE_WITHIN = 5_500_000
+    # Microseconds.  After a change of address changes must be known within 4 s, of which 0.5 s is for the
+    # answer.  Until then a request that is not answered is repeated sooner.
+    MOVE_UPDATE_WITHIN = 3_500_000
+    MOVE_SILENCE_TIMEOUT = 1_500_000
 
     def __init__(
         self,
@@ -103,6 +107,7 @@
         self.is_incomplete = False  # an entry has been invalid since the last complete list
         self.pending_request: Deferred[IResponse] | None = None  # while requesting
         self.body: WatchLines | None = None  # while streaming
+        self.update_by: int | None = None  # after a change of address, until a line was received
         self.last_activity_at = now()  # when the last line was received, or the last request was sent
         self.silence_timeout: Deadline | None = None
         self.next_request: Deadline | None = None
@@ -134,11 +139,13 @@
         if self.silence_timeout is not None:
             self.silence_timeout.cancel()
         self.last_activity_at = self.now()
-        timeout_at = self.last_activity_at + self.SILENCE_TIMEOUT
+        moved = self.update_by is not None and self.last_activity_at < self.update_by
+        timeout_at = self.last_activity_at + (self.MOVE_SILENCE_TIMEOUT if moved else self.SILENCE_TIMEOUT)
         self.silence_timeout = self.deadlines.call_at(timeout_at, self.connection_broke, "silent")
 
     def line_received(self, line: bytes) -> None:
         """Handle a line of the stream; end the connection if the line is invalid."""
+        self.update_by = None
         self.record_activity()
         if not line.strip():
             return
@@ -179,7 +186,10 @@
             body.transport.loseConnection()
         logger.info("discovery watch ended generation={} code={}", self.generation, code)
         if self.state is not WatchState.STOPPED:
-            request_at = self.backoff.record_failure(self.now(), self.last_activity_at + self.UPDATE_WITHIN)
+            latest = self.last_activity_at + self.UPDATE_WITHIN
+            if self.update_by is not None:
+                latest = min(latest, self.update_by)
+            request_at = self.backoff.record_failure(self.now(), latest)
             self.next_request = self.deadlines.call_at(request_at, self.request_watch)
 
     def change_address(self, address: tuple[str, int]) -> None:
@@ -188,6 +198,7 @@
             return
         self.address = address
         self.backoff.failures = 0
+        self.update_by = self.now() + self.MOVE_UPDATE_WITHIN
         if self.state is not WatchState.WAITING:
             self.connection_broke("moved")
         self.request_watch()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,6 +2,7 @@
 
 import re
 
+import pytest
 from helpers import (
     S,
     connect_client,
@@ -11,6 +12,7 @@
     open_server_connection,
     make_proxy,
 )
+from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectBindError, ConnectionDone, ConnectionLost, ConnectionRefusedError
 from twisted.python.failure import Failure
 
@@ -525,6 +527,25 @@
     assert len(calls) == 1
 
 
+@pytest.mark.parametrize("discovery", ["push", "poll"])
+def test_an_unanswered_request_to_a_new_discovery_address_is_repeated_within_four_seconds(discovery):
+    # Guards against a drain that a proxy misses for 5 s after SIGHUP, where it counts as told after 4 s.
+    proxy = make_proxy()
+    watch, requested = proxy.endpoint_watch, []
+    if discovery == "poll":
+        watch.backoff.base_pause = watch.backoff.max_pause = 6 * S
+    watch.agent.request = lambda *arguments: requested.append(proxy.now()) or Deferred()
+    watch.request_watch()
+    moved_at = proxy.now()
+    watch.change_address(("127.0.0.1", 3))
+    proxy.reactor.pump([0.01] * 400)
+    assert len(requested) >= 3 and moved_at + S < requested[2] <= moved_at + 7 * S // 2
+    watch.line_received(b"")
+    del requested[:]
+    proxy.reactor.pump([0.01] * 490)  # then a silence of 5 s is borne as before
+    assert not requested
+
+
 def test_a_malformed_line_restarts_the_watch():
     proxy = make_proxy(0)
     calls = []
