Test of a second SIGTERM: keep the server's connection open

Cause: the test's end of the server connection was a temporary object, so that its socket was closed at once; if the proxy read that before the checks, the attempt had its answer.

--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -199,7 +199,8 @@
     harness = start_proxy(node)
     first, second = harness.client(), harness.client()
     first.send(encode_gets(1))
-    node.accept().receive()
+    server_connection = node.accept()  # kept open
+    assert server_connection.receive()
     first.reset()
     harness.wait_until(lambda: not harness.proxy.request_handler.requests)
     second.send(encode_gets(1))
@@ -260,7 +261,8 @@
     harness = start_proxy(node)
     client = harness.client()
     client.send(encode_command(b"OBJ.SET", b"7f", b"1", b"c=pay,t=t,d=2000", b"v"))
-    node.accept().receive()
+    server_connection = node.accept()  # kept: the attempt is unanswered only while the connection is open
+    assert server_connection.receive()
     harness.run_in_reactor(harness.proxy.terminate)
     harness.advance_clock(harness.proxy.STOP_ACCEPTING_DELAY_US)
     harness.run_in_reactor(harness.proxy.terminate)
