An error in answer to a PING fails the held-back attempt at once

PROTOCOL.md lets servers answer PING with an error where probes are allowed. An attempt whose answer was held back, or that followed a long value, would have waited for the PONG up to its timeout. Now an error other than -ERR failed ends it and the connection while a PONG is awaited: it can't be told whose answer it is. The new test fails in both forms without the change.

--- a/ivystack/net/reply_verifier.py
+++ b/ivystack/net/reply_verifier.py
@@ -85,6 +85,11 @@
         """How many replies are held back until the PONG."""
         return len(self._held)
 
+    @property
+    def awaits_pong(self) -> bool:
+        """Whether a PING was sent that was not answered."""
+        return self.is_skipping or bool(self._held)
+
     @property
     def needs_ping(self) -> bool:
         """Whether the next attempt must be sent behind a PING."""
--- a/ivystack/net/server_connection.py
+++ b/ivystack/net/server_connection.py
@@ -225,11 +225,11 @@
             is_copy = self.verifier.may_be_copy(reply_fingerprint)
             self.abort("strange: a second copy" if is_copy else "strange: an answer to nothing")
             return
-        if value == PONG and (self.verifier.is_skipping or self.verifier.held_count):
+        if value == PONG and self.verifier.awaits_pong:
             self._pong_received()
             return
         outcome = outcome_of_response(value, self.pools.cache_aside)
-        if outcome is None:
+        if outcome is None or (self.verifier.awaits_pong and _is_unexpected_error(outcome, value)):
             self.fail(f"{value!r:.40}")
             return
         reply = Reply(outcome, value, reply_fingerprint)
@@ -293,7 +293,7 @@
         outcome, value = reply.outcome, reply.value
         if self.relay is not None:
             self._finish_relay(self.relay)
-        elif outcome in (Outcome.ERROR, Outcome.INVALID_REQUEST) and value != EXPECTED_ERROR:
+        elif _is_unexpected_error(outcome, value):
             logger.warning("server {} sent an unexpected answer: {!r:.80}", self.pool.name, value)
         self._finish_oldest(outcome, value)
 
@@ -391,5 +391,10 @@
             self.abort("called-off")
 
 
+def _is_unexpected_error(outcome: Outcome, value: Any) -> bool:
+    """Return whether a reply is an error that may be the answer to another command than a request."""
+    return outcome in (Outcome.ERROR, Outcome.INVALID_REQUEST) and value != EXPECTED_ERROR
+
+
 def _discard(piece: bytes) -> None:
     """Discard a piece of a surplus long value."""
--- a/tests/test_duplicate_answers.py
+++ b/tests/test_duplicate_answers.py
@@ -6,9 +6,10 @@
 
 from ivystack.model import Outcome
 from ivystack.net.reply_verifier import PING, Reply, ReplyVerifier, SurplusRepliesError, fingerprint
-from ivystack.net.resp import encode_bulk
+from ivystack.net.resp import MAX_BUFFERED_VALUE, encode_bulk
 
 PONG = b"+PONG\r\n"
+LONG = b"x" * (MAX_BUFFERED_VALUE + 1)
 
 
 def answer_first_request(value=b"first"):
@@ -82,6 +83,17 @@
     assert client.transport.take_output() == b"" and not proxy.request_handler.in_flight
 
 
+@pytest.mark.parametrize("after_long_value", [False, True])
+def test_a_server_that_answers_a_ping_with_an_error_fails_the_attempt_at_once(after_long_value):
+    # Guards against an attempt that waits for a PONG that never comes, up to its timeout.
+    proxy, client, connection = answer_first_request(LONG if after_long_value else b"first")
+    connection.dataReceived(b"" if after_long_value else encode_hit(b"first"))
+    connection.dataReceived(b"-ERR draining\r\n")
+    assert connection.transport.disconnected
+    assert all(in_flight.has_ended for in_flight in connection.in_flight)
+    assert encode_bulk(b"first") not in client.transport.value()
+
+
 def make_replies(letters):
     return [Reply(Outcome.SUCCEEDED, [value], fingerprint([value.encode()])) for value in letters]
 
