--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,77 +1,102 @@
-"""Case 9: a second copy of an answer that comes some milliseconds late, while the client goes on asking."""
+"""Case 9: clients that take seconds to read, on a proxy with the memory that the pages give it."""
 
 import asyncio
+import signal
+import socket
 import sys
 from pathlib import Path
-from random import Random
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
 from trial import TROUBLE, Discovery, Node, Proxy, RespReader, command, main  # noqa: E402
 
-SECONDS = 12
-COPY_DELAY = 0.016  # seconds from an answer to its second copy: "some milliseconds late"
-COPY_SHARE = 0.02  # of the answers behind which nothing else waits on the connection
+MEMORY_MB, SOCKETS = 192, 1024
+CLIENTS, COMMANDS = 100, 100  # commands that a client sends at once
+SIZE = 64_000  # bytes of a value; no value is over 64 KiB
+STARTS_WITHIN = 8.0  # seconds over which the clients come
+READS_AFTER = 9.0 if TROUBLE else 0.0  # seconds that a client takes before it reads its answers
 
 
-class CopyingNode(Node):
-    service_time = 0.0005
-    copies = 0
-
-    def __init__(self, trial, name):
-        super().__init__(trial, name)
-        self.rng = Random(name)
+class LargeNode(Node):
+    service_time = 0.002
 
     def value(self, slot):
-        return b"value of " + slot.arguments[2]
-
-    def written(self, connection, slot):
-        if TROUBLE and slot.arguments[0] != b"PING" and not connection.pending and self.rng.random() < COPY_SHARE:
-            asyncio.get_running_loop().call_later(COPY_DELAY, self.send_copy, connection, slot)
-
-    def send_copy(self, connection, slot):
-        if not connection.writer.is_closing():
-            CopyingNode.copies += 1
-            self.trial.log(f"{self.name} sends the answer to {slot.arguments[2].decode()} a second time")
-            connection.writer.write(slot.answer)
-
-
-async def client(trial, proxy, state):
-    """Send one read after another, without a pause."""
-    rng, sequence, stream = Random(3), 0, None
-    while trial.now() < state["until"]:
-        if stream is None:
-            stream = await asyncio.open_connection(*proxy.listen)
-        sequence += 1
-        ident = b"c-%d" % sequence
-        try:
-            stream[1].write(command(b"OBJ.GET", b"%016x" % rng.getrandbits(64), ident, b"c=read,d=1400"))
-            answer = await asyncio.wait_for(RespReader(stream[0]).read(), 5)
-        except (ConnectionError, asyncio.IncompleteReadError):
-            stream = None
-            continue
-        answer = answer[0] if isinstance(answer, list) else answer
-        kind = "served" if isinstance(answer, bytes) else str(answer)
-        state["answers"][kind] = state["answers"].get(kind, 0) + 1
-        if isinstance(answer, bytes) and answer != b"value of " + ident:
-            state["foreign"] += 1
-            trial.log(f"BROKEN: {ident.decode()} was served {answer.decode()!r}")
+        return (b"value of " + slot.arguments[2] + b" ").ljust(SIZE, b".")
+
+
+def resident_mb(pid):
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return 0.0
+    return next((int(line.split()[1]) / 1024 for line in lines if line.startswith("VmRSS:")), 0.0)
+
+
+async def platform(trial, proxy, state):
+    """Kill the proxy when it holds more memory than its configuration allows, as the platform does."""
+    looks = 0
+    while proxy.process.returncode is None:
+        held = resident_mb(proxy.process.pid)
+        state["peak"] = max(state["peak"], held)
+        if looks % 25 == 0:
+            trial.log(f"the proxy holds {held:.0f} MB; answers so far {state['answers']}")
+        looks += 1
+        if held > MEMORY_MB:
+            trial.say(f"the proxy holds {held:.0f} MB, over `memory_mb` = {MEMORY_MB}: the platform kills it")
+            state["killed"] = True
+            proxy.signal(signal.SIGKILL)
+            return
+        await asyncio.sleep(0.02)
+
+
+async def client(trial, proxy, number, state):
+    await asyncio.sleep(STARTS_WITHIN * number / CLIENTS)
+    try:
+        plain = socket.socket()
+        plain.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(plain, proxy.listen)
+        commands = b"".join(
+            command(b"OBJ.GET", b"%016x" % (7919 * (1000 * number + n)), b"c%d-%d" % (number, n), b"c=read,d=1400")
+            for n in range(COMMANDS)
+        )
+        await asyncio.get_running_loop().sock_sendall(plain, commands)
+        trial.log(f"client {number} has sent {COMMANDS} commands")
+        await asyncio.sleep(READS_AFTER)  # nobody reads from the socket meanwhile
+        reader, writer = await asyncio.open_connection(sock=plain, limit=1 << 18)
+        resp = RespReader(reader)
+        for _ in range(COMMANDS):
+            answer = await asyncio.wait_for(resp.read(), 20)
+            kind = "served" if isinstance(answer, bytes) else str(answer)
+            state["answers"][kind] = state["answers"].get(kind, 0) + 1
+        writer.close()
+    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
+        state["lost"] += 1
+        trial.log(f"client {number}: {type(error).__name__}")
 
 
 async def case(trial):
     discovery = Discovery(trial)
-    for name in ("s-1", "s-2"):
-        node = CopyingNode(trial, name)
-        discovery.change(name, await node.start())
-    proxy = Proxy(trial, discovery, await discovery.start())
+    for number in range(8):
+        node = LargeNode(trial, f"s-{number}")
+        discovery.change(node.name, await node.start())
+    limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
+    proxy = Proxy(trial, discovery, await discovery.start(), limits=limits)
     await proxy.start()
-    state = {"until": trial.now() + SECONDS, "answers": {}, "foreign": 0}
-    await client(trial, proxy, state)
-    proxy.keep_log()
+    state = {"peak": 0.0, "killed": False, "answers": {}, "lost": 0}
+    trial.say(f"the proxy holds {resident_mb(proxy.process.pid):.0f} MB before the first client")
+    trial.spawn(platform(trial, proxy, state))
+    clients = [trial.spawn(client(trial, proxy, number, state)) for number in range(CLIENTS)]
+    waiting = {*clients}
+    while waiting and not state["killed"]:
+        _, waiting = await asyncio.wait(waiting, timeout=0.1)
+    if state["killed"]:
+        await proxy.process.wait()
+        state["lost"] += len(waiting)
+    proxy.keep_log(30)
     trial.say(
-        f"answers {state['answers']} in {SECONDS} s; {CopyingNode.copies} second copies, each {COPY_DELAY * 1000:.0f} ms "
-        f"late; served with the value of another request: {state['foreign']}"
+        f"peak {state['peak']:.0f} MB of {MEMORY_MB}; answers read {state['answers']}; "
+        f"connections without all answers: {state['lost']}"
     )
-    return state["foreign"] == 0
+    return not state["killed"]
 
 
 main(__file__, case)
