--- a/review/9/case.py
+++ b/review/9/case.py
@@ -67,6 +67,7 @@
             answer = await asyncio.wait_for(resp.read(), 20)
             kind = "served" if isinstance(answer, bytes) else str(answer)
             state["answers"][kind] = state["answers"].get(kind, 0) + 1
+            trial.log(f"client {number} got {str(answer)[:24]} ({len(answer or '')} bytes)")
         writer.close()
     except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
         state["lost"] += 1
