--- /dev/null
+++ b/tests/stale_list.py
@@ -0,0 +1,122 @@
+"""Plays moments in which a proxy's endpoint list is older than what the discovery agent has.
+
+The proxy is a process of its own.  It can be held with SIGSTOP, so that it starts late or stands still.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+from helpers import encode_command
+from test_main import free_port
+
+from ivystack.standin.apart import Discovery, Node, in_reactor
+from ivystack.standin.ledger import DRAINING
+
+GRACE_SECONDS = 1.0
+TOLERANCE_SECONDS = 0.05
+COMMANDS = 120
+MS = 1_000_000  # nanoseconds
+READ = {"name": "read", "semantics": "pure", "criticality": 1.0}
+SETTINGS = {
+    "methods": [READ | {"latency_budget": 20_000 * MS, "give_up": 20_000 * MS}],
+    "limits": {"most_write_outs": 3, "may_duplicate": True, "streams_per_conn": 10},
+    "rules": {"stop_sending_within": int(GRACE_SECONDS * 1000) * MS},
+    "discovery": "push",
+}
+
+
+class StaleListPlay:
+    """A proxy, its cache servers and its discovery agent; `drain` lists n0 and n1 as draining."""
+
+    def __init__(self, folder, servers=6):
+        self.folder = folder
+        self.servers = [Node(service_time=0.002) for _ in range(servers)]
+        self.discovery = Discovery(*self.servers)
+        self.known = self.discovery.known
+        self.port = free_port()
+        self.clients = []
+        self.rounds = 0
+
+    def start(self, discovery_address=None):
+        """Start the proxy with the list that it had at first."""
+        path = self.folder / "config.json"
+        config = {
+            "listen": f"127.0.0.1:{self.port}", "discovery": discovery_address or self.discovery.address,
+            "known": self.known, "settings": SETTINGS, "name": "p", "seed": "5",
+        }  # fmt: skip
+        path.write_text(json.dumps(config))
+        with open(self.folder / "log", "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-B", "-m", "ivystack"],
+                env=os.environ | {"LB_CONFIG": str(path)},
+                stderr=log,
+            )
+
+    def drain(self):
+        """List two servers as draining; return when that was told, in seconds."""
+        in_reactor(self.discovery.standin.change, DRAINING, *(node.standin for node in self.servers[:2]))
+        return time.monotonic()
+
+    def mute_watches(self):
+        """Let the open watches fall silent; calls from now on are answered."""
+        in_reactor(self.discovery.standin.watches.clear)
+
+    def connect(self, count=12):
+        """Open connections for the commands, from the moment in which the proxy listens."""
+        while len(self.clients) < count:
+            try:
+                self.clients.append(socket.create_connection(("127.0.0.1", self.port), timeout=10))
+            except ConnectionRefusedError:
+                time.sleep(0.001)
+
+    def send_commands(self):
+        """Write all commands to the open connections."""
+        self.rounds += 1
+        for number, client in enumerate(self.clients):
+            client.sendall(
+                b"".join(self.command(place) for place in range(number, COMMANDS, len(self.clients)))
+            )
+
+    def command(self, number):
+        """Return a read with a key and an id of its own."""
+        key, ident = number * 0x9E3779B97F4A7C15 % 2**53, b"r%d-%d" % (self.rounds, number)
+        return encode_command(b"OBJ.GET", b"%016x" % key, ident, b"c=read,d=20000")
+
+    def read_answers(self):
+        """Return the number of commands that were served."""
+        served = 0
+        for client in self.clients:
+            expected, data = COMMANDS // len(self.clients), b""
+            while data.count(b"\r\n") < 2 * expected:
+                received = client.recv(65_536)
+                if not received:
+                    break
+                data += received
+            served += data.count(b"$")
+        return served
+
+    def hold(self, seconds, *during):
+        """Stop the process for a time; make the calls after a tenth of it."""
+        self.process.send_signal(signal.SIGSTOP)
+        time.sleep(seconds / 10)
+        for call in during:
+            call()
+        time.sleep(seconds * 9 / 10)
+        self.process.send_signal(signal.SIGCONT)
+
+    def late_commands(self, told_at):
+        """Return how many commands the draining servers received after the grace."""
+        latest = (told_at + GRACE_SECONDS + TOLERANCE_SECONDS) * 1e6
+        received = [command for node in self.servers[:2] for command in node.standin.ledger.commands]
+        return sum(command.at > latest for command in received)
+
+    def close(self):
+        for client in self.clients:
+            client.close()
+        self.process.kill()
+        self.process.wait()
