--- a/ivystack/net/endpoint_list.py
+++ b/ivystack/net/endpoint_list.py
@@ -44,6 +44,7 @@
         :returns: whether all entries were valid, and whether an invalid one was not seen before.
         """
         servers, all_valid, has_new_invalid_entry = [], True, False
+        states_before = {server.name: server.state for server in self.balancer.servers.values()}
         # The balancer decides on attempts that the update ends only after the whole update is applied.
         with self.request_handler.defer_run_due():
             for entry in entries:
@@ -58,7 +59,17 @@
                 self.server_pools.set_ready(server.name, server.state == ServerState.READY)
         self.server_pools.forget_unlisted(self.balancer.servers)
         self.request_handler.run_due()
-        return UpdateResult(all_valid, has_new_invalid_entry)
+        return UpdateResult(all_valid, has_new_invalid_entry, self._state_changes(states_before))
+
+    def _state_changes(self, states_before: dict[str, ServerState]) -> list[str]:
+        """Return each server whose state has changed, with its new state; servers that are new are left out."""
+        changes = []
+        for name, state_before in states_before.items():
+            server = self.balancer.servers.get(name)
+            state = ServerState.GONE if server is None else server.state
+            if state is not state_before:
+                changes.append(f"{name}:{state.value}")
+        return changes
 
     def _displaced_servers(self, listed: list[Server], is_complete: bool) -> list[Server]:
         """Stop sending to servers at whose address another one has started since.
--- a/ivystack/net/endpoint_watch.py
+++ b/ivystack/net/endpoint_watch.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
 import orjson
@@ -26,6 +26,7 @@
 CONNECT_TIMEOUT_SECONDS = 2
 MAX_LINE_BYTES = 4 << 20
 STATUS_OK = 200
+MAX_CHANGES_LOGGED = 8  # of one update
 
 
 class UpdateResult(NamedTuple):
@@ -33,6 +34,7 @@
 
     all_valid: bool
     has_new_invalid_entry: bool  # one that was not seen before
+    state_changes: Sequence[str] = ()  # servers whose state has changed, each with its new state
 
 
 UpdateCallback = Callable[[list[dict], bool], UpdateResult]
@@ -167,10 +169,13 @@
         :raises KeyError, TypeError, ValueError: if the listing has the wrong format.
         """
         generation, is_complete = int(listing["generation"]), bool(listing.get("reset"))
-        all_valid, has_new_invalid_entry = self.on_update(listing["instances"], is_complete)
-        self.is_incomplete = not all_valid or (self.is_incomplete and not is_complete)
+        result = self.on_update(listing["instances"], is_complete)
+        self.is_incomplete = not result.all_valid or (self.is_incomplete and not is_complete)
         self.generation = generation
-        return has_new_invalid_entry
+        if result.state_changes:
+            count, named = len(result.state_changes), ",".join(result.state_changes[:MAX_CHANGES_LOGGED])
+            logger.info("server states changed generation={} servers={} states={}", generation, count, named)
+        return result.has_new_invalid_entry
 
     def connection_broke(self, code: str) -> None:
         """End the request or stream, if there is one, and schedule the next request unless stopped."""
