--- a/ivystack/net/endpoint_list.py
+++ b/ivystack/net/endpoint_list.py
@@ -18,6 +18,7 @@
 from .server_pools import ServerPools
 
 LIFECYCLES = {"SERVING": ServerState.READY, "DRAINING": ServerState.DRAINING, "DELETED": ServerState.GONE}
+LISTED_LIFECYCLES = {ServerState.READY: "SERVING", ServerState.DRAINING: "DRAINING"}
 MAX_REMEMBERED_FAULTS = 64  # invalid entries
 MICROSECONDS_PER_MILLISECOND = 1_000
 
@@ -62,7 +63,7 @@
         return UpdateResult(all_valid, has_new_invalid_entry, self._state_changes(states_before))
 
     def _state_changes(self, states_before: dict[str, ServerState]) -> list[str]:
-        """Return each server whose state has changed, with its new state; servers that are new are left out."""
+        """Return each server whose state has changed, with its new state; new servers are left out."""
         changes = []
         for name, state_before in states_before.items():
             server = self.balancer.servers.get(name)
@@ -71,6 +72,26 @@
                 changes.append(f"{name}:{state.value}")
         return changes
 
+    def entries(self) -> list[dict[str, Any]]:
+        """Return the list in discovery's format, without the servers that are gone."""
+        kinds = {index: name for name, index in self.settings.kinds.items()}
+        pools = self.server_pools.pools
+        return [
+            {
+                "instanceId": server.name,
+                "hostPort": "{}:{}".format(*pools[server.name].address),
+                "zone": server.zone,
+                "machineType": kinds.get(server.kind),
+                "cell": server.cell,
+                "lifecycle": LISTED_LIFECYCLES[server.state],
+                "startedAtMs": server.started_at // MICROSECONDS_PER_MILLISECOND,
+                # Live weights are not server sizes; discovery sends new ones every second.
+                "weight": None if self.balancer.load.enabled else server.weight,
+            }
+            for server in self.balancer.servers.values()
+            if server.state in LISTED_LIFECYCLES and server.name in pools
+        ]
+
     def _displaced_servers(self, listed: list[Server], is_complete: bool) -> list[Server]:
         """Stop sending to servers at whose address another one has started since.
 
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -6,8 +6,7 @@
 from typing import Any
 
 from loguru import logger
-from twisted.internet.error import CannotListenError, ConnectionDone
-from twisted.python.failure import Failure
+from twisted.internet.error import CannotListenError
 
 from ..configuration.process import ProcessConfiguration
 from ..model import ServerState
@@ -26,14 +25,12 @@
 from .request_handler import ANSWER_GRACE_US, RequestHandler
 from .server_pool import PoolSettings
 from .server_pools import ServerPools
+from .shutdown import GracefulShutdown
 from .turn_scheduler import TurnScheduler
 
 LISTEN_BACKLOG = 1024  # client connections that the kernel queues until they are accepted
 ADMIN_BACKLOG = 64
 GOSSIP_BIND_RETRY_US = 100_000
-SHUTDOWN_POLL_US = 10_000
-LISTED_LIFECYCLES = {ServerState.READY: "SERVING", ServerState.DRAINING: "DRAINING"}
-MICROSECONDS_PER_MILLISECOND = 1_000
 
 
 class Proxy:
@@ -44,14 +41,6 @@
     """
 
     listen = staticmethod(listen)
-    # Clients keep opening connections for part of the first 0.5 s after SIGTERM.
-    STOP_ACCEPTING_DELAY_US = 500_000
-    # Additional time for commands that have arrived in part.  Nothing is admitted later than 0.7 s after
-    # SIGTERM, because SIGKILL may follow 0.7 s after the longest deadline and requests still active are lost.
-    PARTIAL_COMMAND_GRACE_US = 200_000
-    # SIGKILL follows SIGTERM after at least the longest deadline (3 s at most) plus 0.7 s.  Requests admitted
-    # near the end of that time must be answered before SIGKILL, even after a stall of 0.15 s.
-    MAX_CLIENT_TIMEOUT_US, KILL_DELAY_US, STALL_ALLOWANCE_US = 3_000_000, 700_000, 150_000
 
     def __init__(
         self,
@@ -95,7 +84,8 @@
         self.resident_bytes, self.initial_bytes = resident_bytes, 0
         self.shares_limits = False  # with the other process of a hot restart
         self.port: ClientListener | None = None
-        self.started = self.is_stopping = False
+        self.started = False
+        self.shutdown = GracefulShutdown(self)
 
     def _create_server_pools(self) -> ServerPools:
         return ServerPools(
@@ -264,25 +254,8 @@
 
     def export_state(self) -> ProcessState:
         """Return the state for the next process, with the endpoint list in discovery's format."""
-        kinds = {index: name for name, index in self.settings.kinds.items()}
-        pools = self.server_pools.pools
-        instances = [
-            {
-                "instanceId": server.name,
-                "hostPort": "{}:{}".format(*pools[server.name].address),
-                "zone": server.zone,
-                "machineType": kinds.get(server.kind),
-                "cell": server.cell,
-                "lifecycle": LISTED_LIFECYCLES[server.state],
-                "startedAtMs": server.started_at // MICROSECONDS_PER_MILLISECOND,
-                # Live weights are not server sizes; discovery sends new ones every second.
-                "weight": None if self.balancer.load.enabled else server.weight,
-            }
-            for server in self.balancer.servers.values()
-            if server.state in LISTED_LIFECYCLES and server.name in pools
-        ]
         classes, generation = self.settings.request_classes, self.endpoint_watch.generation
-        return export_state(self.balancer, classes, generation, instances)
+        return export_state(self.balancer, classes, generation, self.endpoints.entries())
 
     def other_process_present(self, is_present: bool) -> None:
         """Halve the limits while another process serves too, so that both together stay within them."""
@@ -320,52 +293,14 @@
 
     # Shutdown.
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the graceful shutdown has begun."""
+        return self.shutdown.has_started
+
     def terminate(self) -> None:
         """Shut down gracefully: serve for a short time, then answer the active requests and stop."""
-        if self.is_stopping:
-            return
-        self.is_stopping = True
-        longest_timeout = min(self.MAX_CLIENT_TIMEOUT_US, self.settings.longest_deadline())
-        time_left = longest_timeout + self.KILL_DELAY_US - self.STALL_ALLOWANCE_US
-        self.request_handler.answer_by = self.now() + time_left
-        # Another process accepts on an inherited port, or will.
-        inherited = self.configuration.inherited_descriptor is not None
-        logger.info("graceful shutdown started requests={}", len(self.request_handler.requests))
-        self.client_server.drain.start(
-            "stopping",
-            self.STOP_ACCEPTING_DELAY_US,
-            self.PARTIAL_COMMAND_GRACE_US,
-            refuses_pings=not inherited,
-        )
-        if inherited:
-            self.gossip.close()
-        delay = 0 if inherited else self.STOP_ACCEPTING_DELAY_US
-        self.deadlines.call_at(self.now() + delay, self.stop_accepting)
-
-    def stop_accepting(self) -> None:
-        """Close the port, and stop the reactor once no client is connected."""
-        if self.port is not None:
-            self._close_port(self.port)
-        self._stop_when_idle()
-
-    def _close_port(self, port: ClientListener) -> None:
-        """Close the port after accepting the connections in its backlog, which the kernel would reset.
-
-        The backlog of an inherited port is left to the other process.
-        """
-        port.stopReading()
-        if self.configuration.inherited_descriptor is None:
-            port.accept_waiting(max(ClientListener.ACCEPTS_PER_TURN, self.client_server.available_capacity()))
-        port.connectionLost(Failure(ConnectionDone()))  # at once: later, more clients would have connected
-
-    def _stop_when_idle(self) -> None:
-        if self.request_handler.requests or self.client_server.connections:
-            self.deadlines.call_at(self.now() + SHUTDOWN_POLL_US, self._stop_when_idle)
-        else:
-            logger.info("proxy stopped: all clients are disconnected")
-            self.endpoint_watch.stop()
-            self.server_pools.mark_stopping()
-            self.reactor.stop()
+        self.shutdown.start()
 
     # The admin server's calls.
 
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -225,7 +225,7 @@
         for _ in range(3 * ClientListener.ACCEPTS_PER_TURN):
             arrived.append(harness.client())
             arrived[-1].send(encode_command(b"PING"))
-        harness.proxy.stop_accepting()
+        harness.proxy.shutdown.stop_accepting()
 
     harness.run_in_reactor(last_turn)
     assert [client.receive() for client in arrived] == ["-ERR draining"] * len(arrived)
@@ -266,7 +266,7 @@
     server_connection = node.accept()  # kept: the attempt is unanswered only while the connection is open
     assert server_connection.receive()
     harness.run_in_reactor(harness.proxy.terminate)
-    harness.advance_clock(harness.proxy.STOP_ACCEPTING_DELAY_US)
+    harness.advance_clock(harness.proxy.shutdown.STOP_ACCEPTING_DELAY_US)
     harness.run_in_reactor(harness.proxy.terminate)
     harness.run_in_reactor(harness.proxy.start_draining)
     assert not harness.reactor.stopped
