--- a/ivystack/net/long_writes.py
+++ b/ivystack/net/long_writes.py
@@ -57,7 +57,7 @@
         in_flight = handler.in_flight[attempt]
         assert in_flight.connection is not None
         in_flight.end_position = in_flight.connection.bytes_written
-        handler.server_pools.restart_timeout(in_flight, attempt.timeout_at)
+        handler.server_pools.endings.restart_timeout(in_flight, attempt.timeout_at)
         handler.start_answer_deadline(active)
 
     def aborted(self, upload: RequestStream) -> None:
@@ -72,7 +72,7 @@
         handler.answer(active.request, rejected(handler.balancer.parameters.retry_after))
         for attempt in active.request.outstanding():
             if attempt in handler.in_flight:
-                handler.server_pools.time_out(handler.in_flight[attempt])
+                handler.server_pools.endings.time_out(handler.in_flight[attempt])
 
     def start_placement_timeout(self, active: ActiveRequest | None) -> None:
         """Limit the time for which a long write waits for a server.
--- a/ivystack/net/request_handler.py
+++ b/ivystack/net/request_handler.py
@@ -282,7 +282,7 @@
         """Cancel the attempts that are still in flight."""
         for attempt in attempts:
             if attempt in self.in_flight:
-                self.server_pools.cancel(self.in_flight[attempt])
+                self.server_pools.endings.cancel(self.in_flight[attempt])
 
     # Outcomes.
 
--- a/ivystack/net/server_connection.py
+++ b/ivystack/net/server_connection.py
@@ -190,7 +190,7 @@
             self.memory.set_input(self.buffered_bytes() + self.verifier.held_bytes)
         if self.memory.input and self.pools.memory.available(MemoryUse.COMMITTED) < 0:
             self.abort("no-memory")
-            self.pools.finish_all(self, Outcome.CANCELLED)  # no fault of the server
+            self.pools.endings.finish_all(self, Outcome.CANCELLED)  # no fault of the server
         if self.code is None:
             self._finish_reading()
 
@@ -255,7 +255,7 @@
         cancelled, so that one invalid answer counts as one failure of the server.
         """
         self.abort(f"strange: {why}")
-        self.pools.finish_all(self, Outcome.ERROR)
+        self.pools.endings.finish_all(self, Outcome.ERROR)
 
     # Answers.
 
@@ -315,7 +315,7 @@
         if not in_flight.has_ended:
             if is_early and outcome in VALUE_OUTCOMES:
                 outcome = Outcome.ERROR  # the server answered before it received the whole attempt
-            self.pools.finish(in_flight, outcome, value[0] if outcome is Outcome.SUCCEEDED else None)
+            self.pools.endings.finish(in_flight, outcome, value[0] if outcome is Outcome.SUCCEEDED else None)
         if is_early:
             self.abort("early: an answer to half a write")
 
@@ -352,7 +352,7 @@
         time_left = max(0, in_flight.attempt.request.deadline - self.pools.now())
         self.relay = relay = ResponseStream(self, size, time_left)
         self.pool.consecutive_losses = 0
-        self.pools.finish(in_flight, Outcome.SUCCEEDED, relay)
+        self.pools.endings.finish(in_flight, Outcome.SUCCEEDED, relay)
         self._check_stalled(relay, -1)
         return self._relay_piece
 
--- a/ivystack/net/server_pools.py
+++ b/ivystack/net/server_pools.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from ..model import Outcome, Request
+from .attempt_endings import AttemptEndings
 from .connection_factory import ConnectionFactory
 from .deadlines import DeadlineQueue
 from .in_flight_attempt import InFlightAttempt
@@ -19,7 +20,6 @@
 from .server_state import ConnectionState
 from .slot_table import SlotTable
 from .streams import ResponseStream
-from .trace import trace
 from .turn_scheduler import TurnScheduler
 
 CONNECT_TIMEOUT_CODE = "connect-timeout"
@@ -41,7 +41,6 @@
     IDLE_TIMEOUT_FRACTION = 0.8  # this side closes first, as the server's close could cross an attempt
     PIPELINE_FROM = 6  # connections to a server before attempts are pipelined
     MAX_DISCARDED_BYTES = 262_144  # of an abandoned answer: reading them is cheaper than a new connection
-    ABANDONED_TIMEOUT = 1_000_000  # microseconds, enough for most late answers; a hung server sends none
 
     def __init__(
         self,
@@ -67,6 +66,7 @@
         self.pools: dict[str, ServerPool] = {}  # by the server's name
         self.idle_connections: OrderedDict[ServerConnection, None] = OrderedDict()  # longest idle first
         self.memory, self.turn_scheduler = memory, turn_scheduler
+        self.endings = AttemptEndings(self)
         self.configure(settings)
         self.set_limit(sockets)
 
@@ -142,14 +142,14 @@
 
     def _return_waiting_attempts(self, pool: ServerPool) -> None:
         for in_flight in [*pool.waiting]:
-            self.finish(in_flight, Outcome.NOT_SENT)
+            self.endings.finish(in_flight, Outcome.NOT_SENT)
 
     # Sending attempts.
 
     def send(self, in_flight: InFlightAttempt, server: str, timeout_at: int) -> None:
         """Send an attempt on a connection to the server, or queue it until there is one."""
         pool = in_flight.pool = self.pools[server]
-        in_flight.deadlines.append(self.deadlines.call_at(timeout_at, self.time_out, in_flight))
+        in_flight.deadlines.append(self.deadlines.call_at(timeout_at, self.endings.time_out, in_flight))
         connection = self._idle_connection(pool) or self._pipelined_connection(pool, in_flight, timeout_at)
         if connection is not None:
             connection.send_attempt(in_flight)
@@ -157,7 +157,7 @@
         pool.waiting.append(in_flight)
         connect_by = min(timeout_at, self.now() + self.connect_timeout, in_flight.attempt.send_by)
         in_flight.deadlines.append(
-            self.deadlines.call_at(connect_by, self._connection_wait_expired, in_flight)
+            self.deadlines.call_at(connect_by, self.endings.connection_wait_expired, in_flight)
         )
         self._open_connection(pool)
 
@@ -181,7 +181,7 @@
         fair_share = max(2, self.max_connections // len(self.pools))  # so that every server gets connections
         if len(pool.connections) < min(self.PIPELINE_FROM, fair_share) or self.max_in_flight <= 1:
             return None
-        if in_flight.attempt.send_by <= timeout_at + self.ABANDONED_TIMEOUT:
+        if in_flight.attempt.send_by <= timeout_at + self.endings.ABANDONED_TIMEOUT:
             return None
         candidates = [other for other in pool.connections if other.can_pipeline(self.max_in_flight)]
         return min(candidates, key=lambda connection: len(connection.in_flight), default=None)
@@ -207,97 +207,6 @@
         if connection in pool.connecting:  # the connection may have failed within the call
             pool.connecting[connection] = connector
 
-    # Ending attempts.
-
-    def cancel(self, in_flight: InFlightAttempt) -> None:
-        """Cancel an attempt whose answer is no longer needed."""
-        self._abandon(in_flight, Outcome.CANCELLED)
-
-    def time_out(self, in_flight: InFlightAttempt) -> None:
-        """End an attempt whose answer did not come in time."""
-        self._abandon(in_flight, Outcome.TIMED_OUT)
-
-    def restart_timeout(self, in_flight: InFlightAttempt, timeout_at: int) -> None:
-        """Restart the timeout of an attempt after the last byte of its long write was sent."""
-        in_flight.cancel_deadlines()
-        in_flight.deadlines = [self.deadlines.call_at(timeout_at, self.time_out, in_flight)]
-
-    def finish(
-        self, in_flight: InFlightAttempt, outcome: Outcome, value: bytes | ResponseStream | None = None
-    ) -> None:
-        """End an attempt with an outcome; ignore any later one."""
-        if in_flight.has_ended:
-            return
-        in_flight.has_ended = True
-        connection = in_flight.connection
-        if trace.enabled and in_flight.frame is not None:
-            slot = connection.slot if connection else "none"
-            server = in_flight.pool.name
-            trace.step(in_flight.frame.request_id, "ended", server=server, connection=slot, outcome=outcome)
-        in_flight.cancel_deadlines()
-        in_flight.frame = None  # its connection may keep the attempt until its answer has come
-        if connection is None:
-            in_flight.pool.waiting.remove(in_flight)
-        if in_flight.upload is not None and in_flight.has_unsent_bytes():
-            in_flight.upload.attempt_failed()
-        self.on_outcome(in_flight, outcome, value)
-
-    def finish_all(self, connection: ServerConnection, outcome: Outcome) -> None:
-        """End the oldest attempt on a connection with an outcome, and cancel those behind it."""
-        for in_flight in [*connection.in_flight]:
-            if not in_flight.has_ended:
-                self.finish(in_flight, outcome)
-                outcome = Outcome.CANCELLED
-
-    def _connection_wait_expired(self, in_flight: InFlightAttempt) -> None:
-        if in_flight.connection is not None:
-            return
-        if self.now() >= in_flight.attempt.send_by:
-            self.finish(in_flight, Outcome.NOT_SENT)
-        elif in_flight.pool.connecting:
-            self.finish(in_flight, Outcome.CONNECTION_REFUSED)
-        else:  # reported as overload of the server, although this process's connection limit is the cause
-            self.finish(in_flight, Outcome.OVERLOADED)
-
-    def _abandon(self, in_flight: InFlightAttempt, outcome: Outcome) -> None:
-        """End an attempt whose answer is no longer needed.
-
-        If connections may carry several attempts, the connection stays open up to `ABANDONED_TIMEOUT` to read
-        and discard the answer: a new connection would cost the server more, and delay the next request.
-        """
-        if in_flight.has_ended:
-            return
-        is_cancelled = outcome is Outcome.CANCELLED
-        connection, code = in_flight.connection, "called-off" if is_cancelled else "out-of-time"
-        if connection is None or in_flight.has_unsent_bytes():
-            # CONNECTION_REFUSED, although the attempt timed out, because it proves that nothing was executed.
-            self.finish(in_flight, Outcome.NOT_SENT if is_cancelled else Outcome.CONNECTION_REFUSED)
-            if connection is not None:
-                connection.abort(code)
-            return
-        others = [other for other in connection.in_flight if other is not in_flight]
-        if self.max_in_flight <= 1 and all(other.has_ended for other in others):
-            connection.abort(code)
-        elif not any(other.has_ended for other in others):  # else the timeout is already running
-            # `max_in_flight` may be 1 here, if the other attempts were sent before a reload lowered it.
-            self._await_abandoned(connection, code)
-        self.finish(in_flight, outcome)
-
-    def _await_abandoned(self, connection: ServerConnection, code: str) -> None:
-        timeout_at = self.now() + self.ABANDONED_TIMEOUT
-        connection.deadline = self.deadlines.call_at(timeout_at, self._abandoned_timed_out, connection, code)
-
-    def _abandoned_timed_out(self, connection: ServerConnection, code: str) -> None:
-        """Abort a connection on which only abandoned attempts are left, and close the server's idle ones.
-
-        If the server is silent on one connection, its idle connections are suspect too.
-        """
-        if connection.relay is None and connection.only_abandoned_attempts:
-            self.close_idle(connection.pool, "suspect")
-            connection.abort(code)
-        else:
-            self._await_abandoned(connection, code)
-
     # Events of connections.
 
     def connection_made(self, connection: ServerConnection) -> None:
@@ -316,12 +225,12 @@
         while pool.waiting and not connection.in_flight:  # `finish` may have sent another attempt on it
             in_flight = pool.waiting[0]
             if not self.is_wanted(in_flight.attempt.request):
-                self.finish(in_flight, Outcome.NOT_SENT)  # its client has disconnected
+                self.endings.finish(in_flight, Outcome.NOT_SENT)  # its client has disconnected
             elif self.now() < in_flight.attempt.send_by:
                 connection.send_attempt(pool.waiting.popleft())
                 return
             else:  # too late to be sent safely, although its timeout has not expired
-                self.finish(pool.waiting[0], Outcome.NOT_SENT)
+                self.endings.finish(pool.waiting[0], Outcome.NOT_SENT)
         if connection.in_flight:
             return
         if not pool.is_ready:
@@ -352,32 +261,18 @@
             code,
         )
         if not connection.only_abandoned_attempts:
-            self._finish_lost(connection)
+            self.endings.finish_lost(connection)
         if (
             connect_failed and code != CONNECT_TIMEOUT_CODE and pool.waiting
         ):  # waiting attempts have their own timeouts
             # Without a free descriptor in this process, the server is reported as overloaded.
             lacks_descriptor = code == NO_DESCRIPTOR_CODE
-            self.finish(
+            self.endings.finish(
                 pool.waiting[0], Outcome.OVERLOADED if lacks_descriptor else Outcome.CONNECTION_REFUSED
             )
         for waiting_pool in [pool] if pool.waiting else self._pools_at_limit():
             self._open_connection(waiting_pool)
 
-    def _finish_lost(self, connection: ServerConnection) -> None:
-        """End the attempts on a lost connection.
-
-        The loss of a connection that was kept alive is no evidence of a fault of the server, but attempts
-        that were sent may have been executed.
-        """
-        connection.pool.consecutive_losses += 1
-        for in_flight in [*connection.in_flight]:
-            if in_flight.has_unsent_bytes():  # both outcomes prove that nothing was executed
-                kept_alive = connection.was_kept_alive
-                self.finish(in_flight, Outcome.NOT_SENT if kept_alive else Outcome.CONNECTION_REFUSED)
-        kept_alive = connection.was_kept_alive
-        self.finish_all(connection, Outcome.CANCELLED if kept_alive else Outcome.CONNECTION_LOST)
-
     def _remove_from_idle(self, connection: ServerConnection) -> None:
         """Remove a connection from the idle ones if it is idle, and cancel its timeout."""
         if connection in self.idle_connections:
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -448,7 +448,7 @@
     next(wire for number, wire in enumerate(clients) if b"%d.0" % number in read_id).end()
     harness.wait_until(lambda: len(harness.proxy.request_handler.in_flight) == len(clients))
     before = harness.run_in_reactor(lambda: harness.proxy.deadlines.scheduled)
-    harness.advance_clock(harness.proxy.server_pools.ABANDONED_TIMEOUT)
+    harness.advance_clock(harness.proxy.server_pools.endings.ABANDONED_TIMEOUT)
     # The timeout must not be rescheduled in a loop.
     assert harness.run_in_reactor(lambda: harness.proxy.deadlines.scheduled) - before < 20
     wire.send(encode_hit(b"late") + encode_hit(b"receipt"))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -352,8 +352,8 @@
     connection = open_server_connection(proxy)
     attempt = connection.in_flight[0]
     proxy.server_pools.on_outcome = lambda in_flight, outcome, value: ended.append(outcome)
-    proxy.server_pools.cancel(attempt)
-    proxy.server_pools.cancel(attempt)
+    proxy.server_pools.endings.cancel(attempt)
+    proxy.server_pools.endings.cancel(attempt)
     connection.connectionLost(Failure(ConnectionDone()))
     assert ended == [Outcome.CANCELLED]
 
@@ -383,7 +383,7 @@
     assert client.transport.take_output() == b"-BUSY\r\n" and not connection.transport.disconnected
     client.dataReceived(encode_get(b"2"))
     assert b"$1\r\n2\r\n" not in connection.transport.take_output()
-    proxy.reactor.advance(proxy.server_pools.ABANDONED_TIMEOUT / S)
+    proxy.reactor.advance(proxy.server_pools.endings.ABANDONED_TIMEOUT / S)
     assert connection.transport.disconnected and connection.code == "out-of-time"
 
 
@@ -593,7 +593,7 @@
     client.dataReceived(encode_get(b"1") + encode_get(b"2"))
     silent, quick = open_server_connection(proxy, 0), open_server_connection(proxy, 1)
     quick.dataReceived(encode_hit())
-    proxy.reactor.pump([0.6, proxy.server_pools.ABANDONED_TIMEOUT / S])
+    proxy.reactor.pump([0.6, proxy.server_pools.endings.ABANDONED_TIMEOUT / S])
     assert silent.transport.disconnected and quick.code == "suspect"
 
 
@@ -637,7 +637,7 @@
     proxy = make_proxy(may_duplicate=True, streams_per_conn=100)
     client, connections = pipeline_requests(proxy)
     for connection in connections:
-        proxy.server_pools.cancel(connection.in_flight[0])
+        proxy.server_pools.endings.cancel(connection.in_flight[0])
     client.dataReceived(encode_get(b"6"))
     assert len(proxy.reactor.tcpClients) == 3
 
--- a/tests/test_single_execution.py
+++ b/tests/test_single_execution.py
@@ -230,7 +230,7 @@
     sender.send()
     server_connection = open_server_connection(sender.instance)
     sender.send()
-    sender.instance.server_pools.cancel(server_connection.in_flight[0])
+    sender.instance.server_pools.endings.cancel(server_connection.in_flight[0])
     assert sender.outcomes_after(server_connection, BUSY + BUSY) == []
     assert sender.outcomes_after(server_connection, encode_hit() + PONG) == [Outcome.SUCCEEDED]
 
