Read what discovery has sent before attempts are decided or sent

Cause: epoll reports commands that came before the change ahead of the watch's line, and nothing read the line before the commands were acted on. Decisions wait until all lines that were read at once are applied.

--- a/ivystack/net/endpoint_list.py
+++ b/ivystack/net/endpoint_list.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 from typing import Any
 
@@ -38,6 +39,13 @@
         # Hashes of the invalid entries that were logged last.
         self.invalid_entries: deque[int] = deque(maxlen=MAX_REMEMBERED_FAULTS)
 
+    @contextmanager
+    def batch(self) -> Iterator[None]:
+        """Apply the updates within the context before any decision is made by one of them."""
+        with self.request_handler.defer_run_due():
+            yield
+        self.request_handler.run_due_soon()
+
     def update(self, entries: list[dict], is_complete: bool) -> UpdateResult:
         """Apply an update.
 
--- a/ivystack/net/endpoint_watch.py
+++ b/ivystack/net/endpoint_watch.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable, Sequence
-from typing import Any, NamedTuple
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import AbstractContextManager, contextmanager, nullcontext
+from math import inf
+from typing import Any, NamedTuple, Protocol
 
 import orjson
 from loguru import logger
@@ -16,17 +18,18 @@
 from twisted.internet.protocol import connectionDone
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
-from twisted.web.client import Agent
 from twisted.web.iweb import IResponse
 
 from ..balancing.poll_backoff import PollBackoff
 from .deadlines import Deadline, DeadlineQueue
+from .discovery_agent import DiscoveryAgent
 
 PATH = b"http://%b:%d/v1/endpoints?stream=1&index=%d"
-CONNECT_TIMEOUT_SECONDS = 2
 MAX_LINE_BYTES = 4 << 20
 STATUS_OK = 200
 MAX_CHANGES_LOGGED = 8  # of one update
+# Microseconds from a call until discovery counts as silent.  The agent runs on the same machine.
+ANSWER_TIMEOUT_US = 50_000
 
 
 class UpdateResult(NamedTuple):
@@ -40,6 +43,16 @@
 UpdateCallback = Callable[[list[dict], bool], UpdateResult]
 
 
+class WatchListener(Protocol):
+    """What is told when discovery has been heard, or can't be."""
+
+    def heard(self) -> None:
+        """Discovery has sent a line."""
+
+    def call_failed(self, code: str) -> None:
+        """A call has ended without a line."""
+
+
 class WatchState(enum.Enum):
     """The states of the watch."""
 
@@ -58,9 +71,15 @@
 
     def __init__(self, watch: EndpointWatch) -> None:
         self.watch = watch
+        self.has_line = False  # a line was received
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802, D102
+        with self.watch.reading(), self.watch.update_batch():
+            super().dataReceived(data)
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802, D102
         if self.watch.body is self:
+            self.has_line = True
             self.watch.line_received(line)
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802, D102
@@ -86,6 +105,10 @@
     # answer.  Until then a request that is not answered is repeated sooner.
     MOVE_UPDATE_WITHIN = 3_500_000
     MOVE_SILENCE_TIMEOUT = 1_500_000
+    # Microseconds between the times at which all that has arrived is read, while a call or a stream is open.
+    READ_INTERVAL = 500_000
+    # Microseconds by which a call of the deadline queue may be late in a process that has not stood still.
+    MAX_LAG = 150_000
 
     def __init__(
         self,
@@ -95,22 +118,33 @@
         backoff: PollBackoff,
         address: tuple[str, int],
         on_update: UpdateCallback,
+        update_batch: Callable[[], AbstractContextManager[None]] = nullcontext,
     ) -> None:
         """Watch the service at `address` once `request_watch` is called.
 
         :param backoff: determines the pause before the next request after a failure.
         :param on_update: called with an update's entries, and whether they are the complete list.
+        :param update_batch: the context in which the updates are applied that are received at once.
         """
-        self.agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_SECONDS)
+        self.agent = DiscoveryAgent(reactor, now)
         self.deadlines, self.now, self.backoff, self.address = deadlines, now, backoff, address
-        self.on_update = on_update
+        self.on_update, self.update_batch = on_update, update_batch
+        self.listener: WatchListener | None = None
         self.state = WatchState.WAITING
         self.generation = 0
         self.is_incomplete = False  # an entry has been invalid since the last complete list
         self.pending_request: Deferred[IResponse] | None = None  # while requesting
         self.body: WatchLines | None = None  # while streaming
         self.update_by: int | None = None  # after a change of address, until a line was received
-        self.last_activity_at = now()  # when the last line was received, or the last request was sent
+        # When the last line arrived at the latest, as far as that is known, or the last request was sent.
+        self.last_activity_at = now()
+        self.requested_at = now()
+        self.drained_at = now()  # when all that had arrived was last read
+        self.is_reading = False  # input is being handled
+        # Until when the list is as new as it has to be, if nothing more is heard.  In a process that does not
+        # stand still, each line, failure and silence of a call extends it in time.
+        self.trusted_until: float = inf
+        self.next_read: Deadline | None = None  # while a call or a stream is open
         self.silence_timeout: Deadline | None = None
         self.next_request: Deadline | None = None
 
@@ -131,16 +165,29 @@
             self.next_request.cancel()
         since = 0 if self.is_incomplete else self.generation
         host, port = self.address
-        self.record_activity()
+        self.requested_at = self.drained_at = self.now()
+        self.record_activity(self.requested_at)
+        self._schedule_read(ANSWER_TIMEOUT_US + 1)
         request = self.pending_request = self.agent.request(b"GET", PATH % (host.encode(), port, since))
         self.state = WatchState.REQUESTING
         request.addCallbacks(self._response_begun, self._request_failed, (request,), errbackArgs=(request,))
 
-    def record_activity(self) -> None:
-        """Restart the silence timeout, which detects a host that vanished without closing the connection."""
+    def call_again(self, code: str) -> None:
+        """End the call or the stream, if there is one, and request the changes at once."""
+        if self.state is WatchState.STOPPED:
+            return
+        if self.state is not WatchState.WAITING:
+            self._end_call(code)
+        self.request_watch()
+
+    def record_activity(self, at: int) -> None:
+        """Restart the silence timeout, which detects a host that vanished without closing the connection.
+
+        :param at: microseconds: when the host was certainly there.
+        """
         if self.silence_timeout is not None:
             self.silence_timeout.cancel()
-        self.last_activity_at = self.now()
+        self.last_activity_at = at
         moved = self.update_by is not None and self.last_activity_at < self.update_by
         timeout_at = self.last_activity_at + (self.MOVE_SILENCE_TIMEOUT if moved else self.SILENCE_TIMEOUT)
         self.silence_timeout = self.deadlines.call_at(timeout_at, self.connection_broke, "silent")
@@ -148,8 +195,10 @@
     def line_received(self, line: bytes) -> None:
         """Handle a line of the stream; end the connection if the line is invalid."""
         self.update_by = None
-        self.record_activity()
+        self.record_activity(self._arrival_time())
+        self.trusted_until = self.last_activity_at + self.UPDATE_WITHIN + self.MAX_LAG
         if not line.strip():
+            self._report_heard()
             return
         try:
             has_new_invalid_entry = self.apply_listing(orjson.loads(line))
@@ -160,9 +209,14 @@
             self.connection_broke("unreadable")
             return
         self.backoff.failures = 0
+        self._report_heard()
         if has_new_invalid_entry:  # request again, in case the entry was damaged in transit
             self.connection_broke("unusable-entry")
 
+    def _report_heard(self) -> None:
+        if self.listener is not None:
+            self.listener.heard()
+
     def apply_listing(self, listing: dict) -> bool:
         """Pass on an update; return whether it contains a new invalid entry.
 
@@ -179,8 +233,27 @@
 
     def connection_broke(self, code: str) -> None:
         """End the request or stream, if there is one, and schedule the next request unless stopped."""
-        if self.silence_timeout is not None:
-            self.silence_timeout.cancel()
+        has_failed = self.state is not WatchState.WAITING and not (self.body and self.body.has_line)
+        self._end_call(code)
+        if self.state is WatchState.STOPPED:
+            return
+        latest = self.last_activity_at + self.UPDATE_WITHIN
+        if self.update_by is not None:
+            latest = min(latest, self.update_by)
+        request_at = self.backoff.record_failure(self.now(), latest)
+        self.next_request = self.deadlines.call_at(request_at, self.request_watch)
+        if has_failed:
+            self.trusted_until = request_at + self.MAX_LAG
+            if self.listener is not None:
+                self.listener.call_failed(code)
+        else:
+            self.trusted_until = min(self.trusted_until, request_at + self.MAX_LAG)
+
+    def _end_call(self, code: str) -> None:
+        """End the request or stream, if there is one; `code` is logged as the reason."""
+        for deadline in (self.silence_timeout, self.next_read):
+            if deadline is not None:
+                deadline.cancel()
         if self.state is not WatchState.STOPPED:
             self.state = WatchState.WAITING
         request, self.pending_request = self.pending_request, None
@@ -189,13 +262,61 @@
         body, self.body = self.body, None
         if body is not None and body.transport is not None:
             body.transport.loseConnection()
+        self.agent.end_call()
         logger.info("discovery watch ended generation={} code={}", self.generation, code)
-        if self.state is not WatchState.STOPPED:
-            latest = self.last_activity_at + self.UPDATE_WITHIN
-            if self.update_by is not None:
-                latest = min(latest, self.update_by)
-            request_at = self.backoff.record_failure(self.now(), latest)
-            self.next_request = self.deadlines.call_at(request_at, self.request_watch)
+
+    # Reading ahead of the reactor.
+
+    @contextmanager
+    def reading(self) -> Iterator[None]:
+        """Mark that input is being handled, of which further lines may follow the present one."""
+        was_reading, self.is_reading = self.is_reading, True
+        try:
+            yield
+        finally:
+            self.is_reading = was_reading
+
+    def read_now(self) -> None:
+        """Read all that has arrived, without waiting for the reactor to report it."""
+        if self.is_reading:
+            return
+        with self.reading():
+            self.agent.read_now()
+        self.drained_at = self.now()
+
+    def answer_due_at(self) -> int | None:
+        """Return when discovery counts as silent, if the open call has no answer by then.
+
+        The call is written once its connection is established; before that, the result is None.
+        """
+        connected_at = self.agent.connected_at
+        return None if connected_at is None else connected_at + ANSWER_TIMEOUT_US
+
+    def trust_without_answer(self) -> None:
+        """Trust the list until the open call is repeated, because discovery is silent."""
+        self.trusted_until = max(self.requested_at, self.last_activity_at) + self.UPDATE_WITHIN + self.MAX_LAG
+
+    def _schedule_read(self, delay: int) -> None:
+        if self.next_read is not None:
+            self.next_read.cancel()
+        self.next_read = self.deadlines.call_at(self.now() + delay, self._read_regularly)
+
+    def _read_regularly(self) -> None:
+        self.read_now()
+        if self.state not in (WatchState.REQUESTING, WatchState.STREAMING):
+            return
+        delay, answer_due_at = self.READ_INTERVAL, self.answer_due_at()
+        is_unanswered = self.body is None or not self.body.has_line
+        if is_unanswered and answer_due_at is not None:
+            if answer_due_at > self.now():
+                delay = answer_due_at - self.now()
+            else:
+                self.trust_without_answer()
+        self._schedule_read(delay)
+
+    def _arrival_time(self) -> int:
+        """Return when the line that is being handled has arrived."""
+        return self.now()
 
     def change_address(self, address: tuple[str, int]) -> None:
         """Watch the service at another address; the generations continue, so the known list stays valid."""
@@ -204,16 +325,14 @@
         self.address = address
         self.backoff.failures = 0
         self.update_by = self.now() + self.MOVE_UPDATE_WITHIN
-        if self.state is not WatchState.WAITING:
-            self.connection_broke("moved")
-        self.request_watch()
+        self.call_again("moved")
 
     def stop(self) -> None:
         """Stop the watch permanently."""
         is_open = self.state in (WatchState.REQUESTING, WatchState.STREAMING)
         self.state = WatchState.STOPPED
         if is_open:
-            self.connection_broke("stopping")
+            self._end_call("stopping")
 
     def _response_begun(self, response: Any, request: Deferred[IResponse]) -> None:
         body, is_current = WatchLines(self), request is self.pending_request
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -15,6 +15,7 @@
 from .client_server import ClientServer, RequestCallbacks
 from .clock import WallAnchoredClock
 from .deadlines import DeadlineQueue
+from .endpoint_gate import EndpointGate
 from .endpoint_list import EndpointList
 from .endpoint_watch import EndpointWatch
 from .gossip_socket import GossipSocket
@@ -65,9 +66,13 @@
             self.settings.poll_backoff,
             configuration.discovery,
             self.endpoints.update,
+            self.endpoints.batch,
+        )
+        self.endpoint_gate = EndpointGate(
+            reactor, self.endpoint_watch, self.deadlines, self.now, handler.held.release
         )
         self.gossip = GossipSocket(configuration.peers, handler.receive_gossip)
-        handler.connect(self.server_pools, self.gossip)
+        handler.connect(self.server_pools, self.gossip, self.endpoint_gate.allows_attempts)
         self.hot_restart = HotRestart(
             reactor,
             self.deadlines,
@@ -98,6 +103,7 @@
             self.turn_scheduler,
             self.request_handler.attempt_ended,
             self.request_handler.client_is_waiting,
+            lambda: self.endpoint_gate.allows_attempts(),
         )
 
     def _create_client_server(self) -> ClientServer:
@@ -195,6 +201,7 @@
     def open_sockets(self) -> None:
         """Start accepting clients and watching the endpoint list."""
         self.measure_memory()
+        self.endpoint_watch.request_watch()
         if self.configuration.peer_listen:
             self.open_gossip_socket(*self.configuration.peer_listen)
         if self.configuration.inherited_descriptor is not None:
@@ -206,7 +213,6 @@
             self.port = self.listen(
                 self.reactor, *self.configuration.listen, self.client_server, LISTEN_BACKLOG
             )
-        self.endpoint_watch.request_watch()
         logger.info("proxy started name={} nodes={}", self.configuration.name, len(self.balancer.servers))
         self.started = True
         self.request_handler.run_due()
--- a/ivystack/net/request_handler.py
+++ b/ivystack/net/request_handler.py
@@ -40,6 +40,7 @@
 from .client_server import ClientRequest
 from .deadlines import Deadline, DeadlineQueue
 from .gossip_socket import GossipSocket
+from .held_requests import HeldRequests
 from .in_flight_attempt import InFlightAttempt
 from .long_writes import MAX_TRANSFER_US, LongWrites
 from .reply import Failed, Rejected, Reply, Value, rejected
@@ -73,6 +74,7 @@
 
     server_pools: ServerPools
     gossip: GossipSocket
+    may_send: Callable[[], bool]  # whether the endpoint list is as new as it has to be
 
     def __init__(
         self, settings: InstanceConfiguration, deadlines: DeadlineQueue, now: Callable[[], int]
@@ -86,13 +88,14 @@
         self.answer_by: int | None = None
         self.long_writes = LongWrites(self)
         self.abandoned_ids = AbandonedIds()
+        self.held = HeldRequests(deadlines, now, self.decide, self.run_due)
         self._ended: deque[EndedAttempt] = deque()
         self._is_running = False  # `run_due` is running or deferred
         self._wakeup: Deadline | None = None
 
-    def connect(self, server_pools: ServerPools, gossip: GossipSocket) -> None:
-        """Set the server pools that send attempts and the socket that sends gossip."""
-        self.server_pools, self.gossip = server_pools, gossip
+    def connect(self, server_pools: ServerPools, gossip: GossipSocket, may_send: Callable[[], bool]) -> None:
+        """Set the server pools that send attempts, the socket that sends gossip, and when attempts may go."""
+        self.server_pools, self.gossip, self.may_send = server_pools, gossip, may_send
 
     def latest_deadline(self) -> int:
         """Return the latest deadline of the active requests in microseconds, or 0 if there are none."""
@@ -239,7 +242,10 @@
     # Decisions.
 
     def decide(self, request: Request, now: int) -> None:
-        """Have the balancer route a request, and apply the decision."""
+        """Have the balancer route a request, and apply the decision; hold the request if none may be made."""
+        if not self.may_send():
+            self.held.add(request)
+            return
         decision: Decision
         try:
             decision = self.balancer.route(request, now)
@@ -376,6 +382,10 @@
             case request:
                 self.decide(request, now)
 
+    def run_due_soon(self) -> None:
+        """Run what is due in the next turn of the reactor."""
+        self._schedule_wakeup(self.now())
+
     def _schedule_wakeup(self, due_at: int) -> None:
         """Schedule `run_due` for a time in microseconds, unless an earlier call is scheduled already."""
         wakeup = self._wakeup
--- a/ivystack/net/server_pools.py
+++ b/ivystack/net/server_pools.py
@@ -53,15 +53,17 @@
         turn_scheduler: TurnScheduler,
         on_outcome: OutcomeCallback,
         is_wanted: Callable[[Request], bool],
+        may_send: Callable[[], bool],
     ) -> None:
         """Start without pools; `sockets` is passed to `set_limit`.
 
         :param memory: the budget of what all connections hold
         :param turn_scheduler: shares each reactor turn among all connections
         :param is_wanted: returns whether a request's client is still connected.
+        :param may_send: returns whether attempts may go out by the present endpoint list; it may change that.
         """
         self.reactor, self.deadlines, self.now = reactor, deadlines, now
-        self.on_outcome, self.is_wanted = on_outcome, is_wanted
+        self.on_outcome, self.is_wanted, self.may_send = on_outcome, is_wanted, may_send
         self.connections: SlotTable[ServerConnection] = SlotTable()
         self.pools: dict[str, ServerPool] = {}  # by the server's name
         self.idle_connections: OrderedDict[ServerConnection, None] = OrderedDict()  # longest idle first
@@ -218,6 +220,7 @@
     def reuse(self, connection: ServerConnection) -> None:
         """Send the next waiting attempt on a connection that carries none, or keep the connection idle."""
         pool = connection.pool
+        may_send = not pool.waiting or self.may_send()
         if not connection.accepts_attempts:
             if not connection.in_flight:
                 connection.close("moved")
@@ -226,10 +229,10 @@
             in_flight = pool.waiting[0]
             if not self.is_wanted(in_flight.attempt.request):
                 self.endings.finish(in_flight, Outcome.NOT_SENT)  # its client has disconnected
-            elif self.now() < in_flight.attempt.send_by:
+            elif may_send and self.now() < in_flight.attempt.send_by:
                 connection.send_attempt(pool.waiting.popleft())
                 return
-            else:  # too late to be sent safely, although its timeout has not expired
+            else:  # too late to be sent safely, or by an endpoint list that may be out of date
                 self.endings.finish(pool.waiting[0], Outcome.NOT_SENT)
         if connection.in_flight:
             return
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -246,6 +246,13 @@
     return proxy
 
 
+def start_without_discovery(proxy):
+    """Start a proxy whose calls of discovery are refused."""
+    proxy.endpoint_watch.request_watch = lambda: None
+    proxy.start()
+    proxy.endpoint_gate.call_failed("refused")
+
+
 def connect_client(proxy):
     """Return the proxy's side of a new client connection."""
     connection = proxy.client_server.buildProtocol(None)
--- a/tests/moments.py
+++ b/tests/moments.py
@@ -131,8 +131,9 @@
         self.proxy = in_reactor(Proxy, run, self.reactor, lambda: self.now)
 
     def start(self, *servers):
-        """Start the proxy, with these cache servers in its endpoint list."""
+        """Start the proxy, with these cache servers in its endpoint list, as if discovery were silent."""
         in_reactor(self.proxy.start)
+        self.run_in_reactor(self.proxy.endpoint_gate.call_failed, "no-answer")
         if servers:
             self.run_in_reactor(
                 self.proxy.endpoints.update, [server.endpoint_entry() for server in servers], True
--- a/tests/test_endpoint_watch.py
+++ b/tests/test_endpoint_watch.py
@@ -30,7 +30,13 @@
     def __init__(self, reactor, failures, reachable_at):
         self.reactor, self.failures, self.reachable_at = reactor, list(failures), reachable_at
         self.request_times: list[int] = []
-        self.discovery = None
+        self.discovery = self.connected_at = None
+
+    def read_now(self):
+        """Nothing arrives but what the reactor delivers."""
+
+    def end_call(self):
+        pass
 
     def request(self, method, url):
         response, now = Deferred(lambda _: None), round(self.reactor.seconds() * S)
@@ -148,7 +154,7 @@
     watch = EndpointWatch(reactor, deadlines, deadlines.now, settings.poll_backoff, ("127.0.0.1", 1), None)
     watch.request_watch = lambda: calls.append(deadlines.now())
     silent_since = deadlines.now()
-    watch.record_activity()
+    watch.record_activity(silent_since)
     for _ in range(1200):
         reactor.advance(0.005)
     assert calls and calls[0] <= silent_since + UPDATE_LIMIT - 500 * MS
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -9,6 +9,7 @@
     encode_get,
     encode_hit,
     open_server_connection,
+    start_without_discovery,
     make_proxy,
     make_process_configuration,
 )
@@ -168,8 +169,7 @@
 def test_without_an_inherited_socket_there_is_no_hot_restart():
     # Large deployments have no Unix sockets.
     instance = make_proxy()
-    instance.endpoint_watch.request_watch = lambda: None
-    instance.start()
+    start_without_discovery(instance)
     assert not instance.reactor.unixClients and not instance.reactor.unixServers and instance.port is not None
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,6 +10,7 @@
     encode_get,
     encode_hit,
     open_server_connection,
+    start_without_discovery,
     make_proxy,
     request_memory,
 )
@@ -468,8 +469,7 @@
 
 def test_after_sigterm_active_requests_are_finished():
     proxy = make_proxy()
-    proxy.endpoint_watch.request_watch = lambda: None
-    proxy.start()
+    start_without_discovery(proxy)
     idle, client = connect_client(proxy), connect_client(proxy)
     proxy.terminate()
     client.dataReceived(encode_get(fields=b"c=read,d=900"))
@@ -523,7 +523,7 @@
     proxy = make_proxy()
     calls = []
     proxy.endpoint_watch.request_watch = lambda: calls.append(proxy.now())
-    proxy.endpoint_watch.record_activity()
+    proxy.endpoint_watch.record_activity(proxy.now())
     proxy.reactor.advance(4.9)
     assert not calls
     proxy.reactor.pump([0.2, 1])
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -8,6 +8,7 @@
     encode_get,
     encode_hit,
     open_server_connection,
+    start_without_discovery,
     make_proxy,
 )
 from twisted.internet.error import ConnectionDone
@@ -21,8 +22,7 @@
 
 def start_proxy(count=1):
     instance = make_proxy(count)
-    instance.endpoint_watch.request_watch = lambda: None
-    instance.start()
+    start_without_discovery(instance)
     return instance
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -13,6 +13,7 @@
     encode_hit,
     make_proxy,
     open_server_connection,
+    start_without_discovery,
     request_memory,
 )
 from ivystack.standin.apart import Node
@@ -314,8 +315,7 @@
 
 def test_a_drain_finishes_answers_that_are_being_forwarded():
     proxy, client, connection = send_request()
-    proxy.endpoint_watch.request_watch = lambda: None
-    proxy.start()
+    start_without_discovery(proxy)
     connection.dataReceived(HEAD + LONG[:1000])
     proxy.start_draining()
     proxy.reactor.pump([0.1] * 40)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -10,6 +10,7 @@
     encode_get,
     encode_hit,
     open_server_connection,
+    start_without_discovery,
     make_proxy,
     make_process_configuration,
 )
@@ -124,8 +125,7 @@
 
 def test_settings_are_applied_during_a_drain_and_during_shutdown():
     instance = make_proxy()
-    instance.endpoint_watch.request_watch = lambda: None
-    instance.start()
+    start_without_discovery(instance)
     instance.start_draining()
     instance.reload(make_process_configuration(methods=[class_settings("new")]))
     assert instance.client_server.drain.code == "drained" and [*instance.client_server.request_classes] == [
