A new process sends nothing before discovery has been heard, or can't be

Cause: requests were decided by `known` from the first turn on, though what the agent has counts as told from the first moment. Now the call is begun before the port opens, and requests wait for its first line; a refusal ends the wait at once, silence after 50 ms from the call's connection. Before silence counts, the reactor reads all sockets once more, and so does a call that is connected only after a stall.

test_endpoint_gate: four of seven failed before, all pass.

--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -201,7 +201,7 @@
     def open_sockets(self) -> None:
         """Start accepting clients and watching the endpoint list."""
         self.measure_memory()
-        self.endpoint_watch.request_watch()
+        self.endpoint_gate.close("start")
         if self.configuration.peer_listen:
             self.open_gossip_socket(*self.configuration.peer_listen)
         if self.configuration.inherited_descriptor is not None:
--- /dev/null
+++ b/tests/test_endpoint_gate.py
@@ -0,0 +1,165 @@
+"""When attempts wait for discovery, in forced orders of events on real sockets and a clock of the test."""
+
+import pytest
+from helpers import S, encode_hit
+from moments import CacheServer, ProxyHarness, encode_gets
+
+
+from ivystack.net.endpoint_watch import ANSWER_TIMEOUT_US
+from ivystack.standin.apart import in_reactor
+
+STALL_US = 200_000  # shorter than the deadlines of requests and connections
+
+
+@pytest.fixture
+def start_proxy():
+    """Return a function that starts a proxy with a known list of these servers, before discovery is heard."""
+    harnesses = []
+
+    def start(*servers):
+        harness = ProxyHarness(may_duplicate=True)
+        entries = [server.endpoint_entry() for server in servers]
+        harness.run.known_endpoints = {"generation": 1, "reset": True, "instances": entries}
+        harnesses.append(harness)
+        in_reactor(harness.proxy.start)
+        return harness
+
+    yield start
+    for harness in harnesses:
+        harness.stop()
+
+
+def let_reactor_run(harness, turns=10):
+    """Let the reactor read its sockets several times; the proxy's clock stands still."""
+    for _ in range(turns):
+        harness.run_in_reactor(lambda: None)
+
+
+def serve(server, client, value=b"v"):
+    """Answer the next attempt at the server, and return what its client receives."""
+    connection = server.accept()
+    connection.receive()
+    connection.send(encode_hit(value))
+    return client.receive()
+
+
+def open_connections(harness):
+    return harness.run_in_reactor(lambda: len(harness.proxy.server_pools.connections))
+
+
+def client_with_request(harness, request_id=b"a"):
+    """Connect a client that has sent a read, and wait until the proxy has read it."""
+    client = harness.client()
+    client.send(encode_gets(1, request_id))
+    harness.wait_until(lambda: harness.proxy.request_handler.requests)
+    return client
+
+
+def test_a_request_waits_for_the_first_answer_of_discovery_and_goes_by_it(start_proxy):
+    draining, ready = CacheServer("n0"), CacheServer("n1")
+    harness = start_proxy(draining, ready)
+    watch, since = harness.discovery.accept_watch()
+    client = client_with_request(harness)
+    let_reactor_run(harness)
+    assert since == 1 and open_connections(harness) == 0
+    harness.discovery.send_update(watch, 2, draining.endpoint_entry("DRAINING"))
+    assert serve(ready, client) == b"v"
+
+
+def test_the_known_list_serves_where_discovery_says_nothing(start_proxy):
+    server = CacheServer("n0")
+    harness = start_proxy(server)
+    silent_watch, _ = harness.discovery.accept_watch()
+    client = client_with_request(harness)
+    harness.advance_clock(ANSWER_TIMEOUT_US - 1)
+    let_reactor_run(harness)
+    assert open_connections(harness) == 0
+    harness.advance_clock(1)
+    assert serve(server, client) == b"v"
+    silent_watch.close()
+
+
+def test_the_known_list_serves_at_once_where_discovery_refuses(start_proxy):
+    server = CacheServer("n0")
+    harness = start_proxy(server)
+    client = client_with_request(harness)
+    watch, _ = harness.discovery.accept_watch()
+    watch.close()
+    assert serve(server, client) == b"v"
+
+
+def test_an_answer_that_lies_unread_when_the_wait_is_over_is_read_first(start_proxy):
+    # Guards against a pause that is taken for silence: the timer falls due in the turn of the answer.
+    draining, ready = CacheServer("n0"), CacheServer("n1")
+    harness = start_proxy(draining, ready)
+    watch, _ = harness.discovery.accept_watch()
+    client = client_with_request(harness)
+
+    def stall():
+        harness.discovery.send_update(watch, 2, draining.endpoint_entry("DRAINING"))
+        harness.now += STALL_US
+        harness.proxy.deadlines.run_due()
+
+    harness.run_in_reactor(stall)
+    assert serve(ready, client) == b"v"
+
+
+def test_a_call_that_is_connected_only_after_a_stall_is_waited_for(start_proxy):
+    draining, ready = CacheServer("n0"), CacheServer("n1")
+    harness = ProxyHarness(may_duplicate=True)
+    harness.run.known_endpoints = {
+        "generation": 1, "reset": True, "instances": [draining.endpoint_entry(), ready.endpoint_entry()]
+    }  # fmt: skip
+
+    def start_and_stall():
+        harness.proxy.start()
+        harness.now += STALL_US
+        harness.proxy.deadlines.run_due()
+
+    try:
+        harness.run_in_reactor(start_and_stall)
+        watch, _ = harness.discovery.accept_watch()
+        client = client_with_request(harness)
+        let_reactor_run(harness)
+        assert open_connections(harness) == 0
+        harness.discovery.send_update(watch, 2, draining.endpoint_entry("DRAINING"))
+        assert serve(ready, client) == b"v"
+    finally:
+        harness.stop()
+
+
+def start_streaming(start_proxy, *servers):
+    """Return a proxy that has heard discovery, and its watch."""
+    harness = start_proxy(*servers)
+    watch, _ = harness.discovery.accept_watch()
+    harness.discovery.send_update(watch, 2)
+    harness.wait_until(lambda: harness.proxy.endpoint_gate.is_open)
+    return harness, watch
+
+
+@pytest.mark.parametrize("is_write", [False, True])
+def test_an_attempt_whose_connection_comes_up_late_is_not_sent_past_an_unread_drain(start_proxy, is_write):
+    # The connection is established in the turn in which the drain lies unread, after a stall.
+    servers = {name: CacheServer(name) for name in ("n0", "n1")}
+    harness, watch = start_streaming(start_proxy, *servers.values())
+    client = harness.client()
+    harness.wait_until(lambda: harness.proxy.client_server.connections)
+
+    def stall():
+        connection = next(iter(harness.proxy.client_server.connections.values()))
+        header = b"*5\r\n$7\r\nOBJ.SET\r\n$2\r\n7f\r\n$1\r\nw\r\n$13\r\nc=pay,d=60000\r\n$100000\r\n"
+        command = header + bytes(50_000) if is_write else encode_gets(1)
+        connection.dataReceived(command)
+        (in_flight,) = harness.proxy.request_handler.in_flight.values()
+        draining = servers[in_flight.pool.name]
+        harness.now += STALL_US
+        harness.discovery.send_update(watch, 3, draining.endpoint_entry("DRAINING"))
+        return draining
+
+    draining = harness.run_in_reactor(stall)
+    ready = next(server for server in servers.values() if server is not draining)
+    connection = ready.accept()
+    assert connection.socket.recv(10).startswith(b"*")
+    wire = draining.accept()
+    assert wire.receive() is None  # closed without any data
+    client.end()
