After a stall a silent watch is called again before anything is sent

Cause: a line that was read after a stall counted as having arrived then, so that the watch counted as alive for 5 s more; and the timers that would have called again were acted on after the commands. Now a line read after a stall counts from the last reading before it, and a list that is past the time for which it may be trusted is not decided by until discovery is called again.

--- a/ivystack/net/endpoint_gate.py
+++ b/ivystack/net/endpoint_gate.py
@@ -56,6 +56,8 @@
         if now - self._checked_at >= CHECK_INTERVAL_US:
             self.watch.read_now()
             self._checked_at = now
+            if now > self.watch.trusted_until:
+                self.close("overdue")
         return self.is_open
 
     def close(self, code: str) -> None:
--- a/ivystack/net/endpoint_watch.py
+++ b/ivystack/net/endpoint_watch.py
@@ -315,8 +315,12 @@
         self._schedule_read(delay)
 
     def _arrival_time(self) -> int:
-        """Return when the line that is being handled has arrived."""
-        return self.now()
+        """Return a time before which the line that is being handled has not arrived.
+
+        What is read after the process has stood still may have arrived at any time since the last reading.
+        """
+        now = self.now()
+        return now if now - self.drained_at <= self.READ_INTERVAL + self.MAX_LAG else self.drained_at
 
     def change_address(self, address: tuple[str, int]) -> None:
         """Watch the service at another address; the generations continue, so the known list stays valid."""
--- a/tests/test_endpoint_gate.py
+++ b/tests/test_endpoint_gate.py
@@ -8,6 +8,7 @@
 from ivystack.net.endpoint_watch import ANSWER_TIMEOUT_US
 from ivystack.standin.apart import in_reactor
 
+SILENT_FOR_US = 7 * S
 STALL_US = 200_000  # shorter than the deadlines of requests and connections
 
 
@@ -163,3 +164,51 @@
     wire = draining.accept()
     assert wire.receive() is None  # closed without any data
     client.end()
+
+
+def test_a_silent_watch_is_called_again_before_anything_is_sent_after_a_stall(start_proxy):
+    # A heartbeat that was read after the stall had arrived before it: the watch may have been silent since.
+    draining, ready = CacheServer("n0"), CacheServer("n1")
+    harness, watch = start_streaming(start_proxy, draining, ready)
+    client = harness.client()
+    harness.wait_until(lambda: harness.proxy.client_server.connections)
+
+    def stall():
+        watch.sendall(b"1\r\n\n\r\n")
+        client.send(encode_gets(1))
+        harness.now += SILENT_FOR_US
+
+    harness.run_in_reactor(stall)
+    second, since = harness.discovery.accept_watch()
+    let_reactor_run(harness)
+    assert since == 2 and open_connections(harness) == 0
+    harness.discovery.send_update(second, 3, draining.endpoint_entry("DRAINING"))
+    assert serve(ready, client) == b"v"
+
+
+def test_a_stall_beside_a_silent_discovery_delays_requests_only_for_the_wait(start_proxy):
+    server = CacheServer("n0")
+    harness, watch = start_streaming(start_proxy, server)
+    client = harness.client()
+    harness.wait_until(lambda: harness.proxy.client_server.connections)
+
+    def stall():
+        client.send(encode_gets(1))
+        harness.now += SILENT_FOR_US
+
+    harness.run_in_reactor(stall)
+    second, _ = harness.discovery.accept_watch()
+    harness.advance_clock(2 * ANSWER_TIMEOUT_US)
+    assert serve(server, client) == b"v"
+    second.close()
+
+
+def test_requests_of_a_running_process_do_not_wait_while_discovery_is_silent(start_proxy):
+    server = CacheServer("n0")
+    harness, silent_watch = start_streaming(start_proxy, server)
+    for _ in range(300):  # the watch falls silent, and further calls are not answered
+        harness.advance_clock(100_000)
+        let_reactor_run(harness)
+        assert harness.proxy.endpoint_gate.allows_attempts()
+    assert harness.proxy.endpoint_watch.requested_at > harness.now - 10 * S
+    silent_watch.close()
