Commands that wait for their turn after a stall are no half command

Cause: the timer of a partial command read what had come, of which one slice is handled at once, and took the rest for a command that never ends. The timer now leaves unhandled input to its turn, which starts the timer again if a partial command is left.

The new test failed before: 32 of 200 commands answered.

--- a/ivystack/net/client_connection.py
+++ b/ivystack/net/client_connection.py
@@ -204,7 +204,7 @@
         self.command_timeout = None
         self.transport.read_now()
         upload_continued = self.upload is not None and self.command_timeout is not None
-        if upload_continued or not self.state.accepts_commands:
+        if upload_continued or not self.state.accepts_commands or self.has_unread_input():
             return
         if not self.at_message_boundary():
             self.fail_protocol("half a command")
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -635,3 +635,18 @@
     harness.wait_until(
         lambda: harness.proxy.endpoint_watch.generation == 8 and len(harness.proxy.balancer.servers) == 2
     )
+
+
+def test_commands_that_wait_for_their_turn_after_a_stall_are_no_half_command(start_proxy):
+    # Guards against a timer that takes what was read, and is not handled yet, for a command that never comes.
+    harness = start_proxy()
+    client = harness.client()
+    harness.wait_until(lambda: harness.proxy.client_server.connections)
+
+    def stall():
+        client.send(encode_command(b"PING") * 200)
+        harness.now += 3_000_000
+        harness.proxy.deadlines.run_due()
+
+    harness.run_in_reactor(stall)
+    assert [client.receive() for _ in range(200)] == ["-ERR no cache node is ready"] * 200
