--- a/ivystack/net/attempt_endings.py
+++ b/ivystack/net/attempt_endings.py
@@ -108,7 +108,7 @@
 
         If the server is silent on one connection, its idle connections are suspect too.
         """
-        if connection.relay is None and connection.only_abandoned_attempts:
+        if connection.long_answer.stream is None and connection.only_abandoned_attempts:
             self.pools.close_idle(connection.pool, "suspect")
             connection.abort(code)
         else:
--- a/ivystack/net/server_connection.py
+++ b/ivystack/net/server_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import zlib
 from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
@@ -14,12 +13,12 @@
 from ..model import Outcome
 from .deadlines import Deadline
 from .in_flight_attempt import InFlightAttempt
+from .long_answer import LongAnswer
 from .memory_budget import ConnectionMemory, MemoryUse
 from .reply_verifier import PING, PONG, Reply, ReplyVerifier, SurplusRepliesError, fingerprint
-from .resp import MAX_BUFFERED_VALUE, MAX_VALUE, RespProtocol, disable_nagle
+from .resp import MAX_VALUE, RespProtocol, disable_nagle
 from .response_outcome import ANSWER_PARTS, is_unexpected_error, outcome_of_response
 from .server_state import ConnectionState
-from .streams import ResponseStream
 from .trace import trace
 
 if TYPE_CHECKING:
@@ -35,7 +34,6 @@
 class ServerConnection(RespProtocol):
     """A connection to a cache server, which answers attempts in the order in which they were sent."""
 
-    STALL_TIMEOUT = 10_000_000  # microseconds without a byte of a long value; sending one may take seconds
     transport: Any  # Twisted's TCP client, whose write buffer `bytes_sent` reads
     max_value_size = MAX_VALUE
     first_array_index = LOAD_REPORT_PART
@@ -49,8 +47,7 @@
         self.attempts_sent = 0
         self.answers_received = 0
         self.verifier = ReplyVerifier()
-        self.relay: ResponseStream | None = None  # the long value being forwarded
-        self.long_value_checksum = 0  # of the long value that is being received, or was received last
+        self.long_answer = LongAnswer(self)
         self.bytes_written = 0  # bytes passed to the transport
         self.turn_scheduler = pools.turn_scheduler
         self.memory = ConnectionMemory(pools.memory)
@@ -116,7 +113,7 @@
         """Abort the connection at once; a long value that is being forwarded is cut short."""
         super().abort(code)
         self.state = ConnectionState.CLOSING
-        self._break_relay()
+        self.long_answer.break_off()
 
     def cancel_deadline(self) -> None:
         """Cancel the current timeout of the connection, if there is one."""
@@ -174,7 +171,8 @@
         """Read on, unless the connection waits for its turn or for the client of a long value."""
         if not self.paused or self.input_closed or self in self.pools.turn_scheduler:
             return
-        if self.relay is None or not self.relay.is_blocked:
+        stream = self.long_answer.stream
+        if stream is None or not stream.is_blocked:
             self.resume_input()
 
     # The protocol's events.
@@ -195,7 +193,7 @@
             self._finish_reading()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802, D102
-        self._break_relay()
+        self.long_answer.break_off()
         self.pools.connection_lost(self, self.end_code(reason, OTHER_SIDE))
 
     def stream_started(self, size: int) -> Callable[[bytes], None] | None:
@@ -203,7 +201,7 @@
         if self.open_arrays != [([], ANSWER_PARTS)]:
             self.fail_protocol("too long")
             return None
-        return self._begin_relay(size)
+        return self.long_answer.begin(size)
 
     def element_received(self, element: Any) -> None:
         """Handle a part of an answer.
@@ -212,10 +210,11 @@
         """
         super().element_received(element)
         report_is_next = bool(self.open_arrays) and len(self.open_arrays[0].elements) == LOAD_REPORT_PART
-        if self.relay and report_is_next and self._value_is_complete():
-            candidate = fingerprint(self.open_arrays[0].elements, self.long_value_checksum)
+        stream = self.long_answer.stream
+        if stream and report_is_next and self._value_is_complete():
+            candidate = fingerprint(self.open_arrays[0].elements, self.long_answer.checksum)
             if not self.verifier.may_be_copy(candidate):
-                self.relay.complete()
+                stream.complete()
 
     def fail_protocol(self, why: str) -> None:
         """Abort the connection, but use a complete value if only its load report is malformed."""
@@ -226,7 +225,7 @@
 
     def value_received(self, value: Any) -> None:
         """Handle a complete reply, which is the answer to the oldest attempt in flight or a copy."""
-        reply_fingerprint = fingerprint(value, self.long_value_checksum)
+        reply_fingerprint = fingerprint(value, self.long_answer.checksum)
         if not self.in_flight:
             is_copy = self.verifier.may_be_copy(reply_fingerprint)
             self.abort("strange: a second copy" if is_copy else "strange: an answer to nothing")
@@ -284,8 +283,8 @@
             return
         if held_count > len(replies):
             self._log_duplicate()
-        if self.relay is not None and not any(reply.is_long for reply in replies):
-            self._break_relay()  # its client can tell that the value is not whole
+        if not any(reply.is_long for reply in replies):
+            self.long_answer.break_off()  # its client can tell that the value is not whole
         for reply in replies:
             self._deliver(reply)
 
@@ -297,8 +296,8 @@
         """End the oldest attempt in flight with the outcome of its answer."""
         self.verifier.record(reply)
         outcome, value = reply.outcome, reply.value
-        if self.relay is not None:
-            self._finish_relay(self.relay)
+        if self.long_answer.stream is not None:
+            self.long_answer.finish()
         elif is_unexpected_error(outcome, value):
             logger.warning("server {} sent an unexpected answer: {!r:.80}", self.pool.name, value)
         self._finish_oldest(outcome, value)
@@ -330,70 +329,3 @@
             self.abort("strange: more than an answer")
         elif self.state is not ConnectionState.IDLE:
             self.pools.reuse(self)
-
-    # Long values.
-
-    def _begin_relay(self, size: int) -> Callable[[bytes], None] | None:
-        """Begin to forward a long value to its client; the attempt has succeeded."""
-        if not self.in_flight:
-            self.abort("strange: an answer to nothing")
-            return None
-        if self.verifier.is_skipping:
-            return _discard
-        try:
-            self.verifier.begin_long_value(size)
-        except SurplusRepliesError:
-            self.fail("a second copy")
-            return None
-        self.long_value_checksum = 0
-        in_flight = self.in_flight[0]
-        if in_flight.has_ended:
-            return self._add_to_checksum
-        time_left = max(0, in_flight.attempt.request.deadline - self.pools.now())
-        self.relay = relay = ResponseStream(self, size, time_left)
-        self.pool.consecutive_losses = 0
-        self.pools.endings.finish(in_flight, Outcome.SUCCEEDED, relay)
-        self._check_stalled(relay, -1)
-        return self._relay_piece
-
-    def _add_to_checksum(self, piece: bytes) -> None:
-        self.long_value_checksum = zlib.crc32(piece, self.long_value_checksum)
-
-    def _relay_piece(self, piece: bytes) -> None:
-        self._add_to_checksum(piece)
-        if self.relay is not None:
-            self.relay.piece_received(piece)
-
-    def _finish_relay(self, relay: ResponseStream) -> None:
-        self.relay = None
-        self.transport.bufferSize = MAX_BUFFERED_VALUE
-        relay.complete()
-
-    def _break_relay(self) -> None:
-        relay, self.relay = self.relay, None
-        if relay is not None:
-            self.transport.bufferSize = MAX_BUFFERED_VALUE
-            relay.fail()
-
-    def _check_stalled(self, relay: ResponseStream, previously_received: int) -> None:
-        """Abort the connection if the server has sent no byte of a long value since the previous check.
-
-        While the connection is paused for a slow client, that client's connection has its own timeout.
-        """
-        if self.relay is not relay or relay.has_ended:
-            return
-        if previously_received == relay.received_bytes and not self.paused:
-            self.abort("stalled")
-            return
-        check_at = self.pools.now() + self.STALL_TIMEOUT
-        self.pools.deadlines.call_at(check_at, self._check_stalled, relay, relay.received_bytes)
-
-    def relay_abandoned(self) -> None:
-        """Abort the connection if a long value's client has disconnected and too many bytes remain."""
-        bytes_left = self.relay.size - self.relay.received_bytes if self.relay else 0
-        if bytes_left > self.pools.MAX_DISCARDED_BYTES and self.only_abandoned_attempts:
-            self.abort("called-off")
-
-
-def _discard(piece: bytes) -> None:
-    """Discard a piece of a surplus long value."""
--- a/ivystack/net/streams.py
+++ b/ivystack/net/streams.py
@@ -158,7 +158,7 @@
         self._stop_collecting()
         self.client = None
         if not self.has_ended:
-            self.server_connection.relay_abandoned()
+            self.server_connection.long_answer.client_lost()
             self.resume()
 
     # Collecting.
@@ -297,7 +297,7 @@
 
     def pauseProducing(self) -> None:  # noqa: N802, D102
         pools = self.server_connection.pools
-        stalled_at = pools.now() + self.server_connection.STALL_TIMEOUT
+        stalled_at = pools.now() + self.server_connection.long_answer.STALL_TIMEOUT
         self.stall_deadline = pools.deadlines.call_at(stalled_at, self.server_connection.abort, "stalled")
         self._pause_client()
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -93,7 +93,7 @@
     assert (
         client.transport.take_output() == b"\r\n"
         and connection in pools.idle_connections
-        and connection.relay is None
+        and connection.long_answer.stream is None
     )
     client.dataReceived(encode_get(b"2"))  # both connections can be reused
     connection.dataReceived(b"+PONG\r\n" + encode_hit())
@@ -290,7 +290,7 @@
     assert connection.transport.take_output() == PING
     connection.dataReceived(HEAD[:4] + b"$3\r\nown\r\n$3\r\nhit\r\n$-1\r\n" + b"+PONG\r\n")
     assert encode_bulk(LONG) not in client.transport.value() and client.transport.disconnecting
-    assert connection.relay is None and not proxy.request_handler.in_flight
+    assert connection.long_answer.stream is None and not proxy.request_handler.in_flight
 
 
 def test_an_equal_long_answer_is_served_once_the_server_has_answered_a_ping():
