--- a/ivystack/rig/command.py
+++ b/ivystack/rig/command.py
@@ -14,7 +14,7 @@
 import click
 from loguru import logger
 
-from . import draw, scenario
+from . import draw, scenario, soak
 from .swarm import FAULTS
 from .scenario import Scenario, ScenarioError
 
@@ -86,6 +86,18 @@
     sys.exit(play_scenarios(scenarios, **options))
 
 
+@rig.command("soak")
+@click.option("--seed", type=int, required=True, help="The first scenario's seed.")
+@click.option("--seconds", type=click.FloatRange(8, 600), default=20.0, show_default=True)
+@click.option(
+    "--runs", type=click.IntRange(1, 1000), default=1, show_default=True, help="Number of consecutive seeds."
+)
+@run_options
+def play_soak(seed, seconds, runs, **options) -> None:
+    """Play scenarios in which endpoint lists are out of date."""
+    sys.exit(play_scenarios([soak.soak_scenario(seed + n, seconds) for n in range(runs)], **options))
+
+
 @rig.command("swarm")
 @click.option("--proxies", type=click.IntRange(1, 2048), default=40, show_default=True)
 @click.option("--nodes", type=click.IntRange(1, 2048), default=24, show_default=True)
--- a/ivystack/rig/faults.py
+++ b/ivystack/rig/faults.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
+import json
 import signal
 
 from msgspec.structs import replace
+from twisted.internet.protocol import ClientFactory, Protocol
 
-from ..standin.ledger import DRAINING, DELETED, SERVING
+from ..standin.ledger import DRAINING, DELETED, SERVING, StateUpdate
 from ..standin.node import Node
 from .check import Exemption
 from .processes import Process
@@ -31,6 +33,29 @@
 )
 
 
+MIN_AGE_FOR_RELOAD_S = 2.0
+
+
+class SilentClient(Protocol):
+    """A client that sends nothing."""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.factory.clients.append(self)
+
+
+class CrowdFactory(ClientFactory):
+    """Makes the silent clients of one crowd."""
+
+    noisy, protocol = False, SilentClient
+
+    def __init__(self):
+        self.clients: list[SilentClient] = []
+
+    def close_all(self) -> None:
+        for client in self.clients:
+            client.transport.abortConnection()
+
+
 class Faults:
     """Applies the faults of a scenario to the processes, links and servers of a Rig."""
 
@@ -90,6 +115,8 @@
             self.apply_to_links(fault, undo)
         elif fault.kind in DISCOVERY_FAULTS:
             self.apply_to_discovery(fault, undo)
+        elif fault.kind == "crowd":
+            self.open_crowd(fault, undo)
         elif fault.kind in CLIENT_FAULTS:
             self.record_fault("clients", f"{fault.kind} {fault.part:g}", undo)
             self.rig.clients.disconnect(match_names(fault.who, [*self.rig.processes], "who"), fault.part)
@@ -115,6 +142,15 @@
                     break
         self.rig.hub.apply_changes()
 
+    def open_crowd(self, fault: Fault, undo: list) -> None:
+        """Open connections that send nothing, directly to the proxies."""
+        self.record_fault("clients", f"{fault.kind} {fault.part:g}", undo)
+        factory = CrowdFactory()
+        for name in match_names(fault.who, [*self.rig.processes], "who"):
+            for _ in range(int(fault.part * self.rig.scenario.fleet.sockets)):
+                self.rig.reactor.connectTCP(*self.rig.listen_addresses[name], factory, timeout=5)
+        undo.append((factory.close_all,))
+
     def end_fault(self, number: int) -> None:
         undo = self.active.pop(number, [])
         for call, *values in undo:
@@ -162,12 +198,16 @@
             process.kill()
             self.record_fault(name, kind, undo, {"proxy": name}, 1.0)
             if fault.span is not None:
-                undo.append((self.start_again, process, fault.directory))
+                undo.append((self.start_again, process, fault))
         elif fault.kind == "restart":
             process.save_directory_copy()
             self.record_fault(name, kind, undo)
             process.terminate()
-            self.rig.reactor.callLater(0.1, self.restart, process, fault.directory)
+            if fault.kill_after:
+                self.rig.reactor.callLater(fault.kill_after, self.kill_if_running, process, process.child)
+            self.rig.reactor.callLater(0.1, self.restart, process, fault)
+        elif fault.kind == "reload":
+            self.reload(process, undo)
         elif fault.kind == "stop":
             process.suspend()
             self.record_fault(name, kind, undo, {"proxy": name}, 1.0)
@@ -225,17 +265,48 @@
 
         undo.append((end,))
 
-    def restart(self, process: Process, directory: str) -> None:
+    def kill_if_running(self, process: Process, child: object) -> None:
+        """Kill the process if it is still the one that was told to end."""
+        if process.child is child and process.is_running():
+            process.kill()
+
+    def reload(self, process: Process, undo: list) -> None:
+        """Move discovery to another address by SIGHUP, which a process in its first seconds does not get."""
+        starts = [at for at, event in process.events if event.startswith(("start", "continue"))]
+        if (
+            not process.should_run
+            or process.stopped
+            or self.rig.now() - max(starts) < MIN_AGE_FOR_RELOAD_S * US
+        ):
+            return
+        rig, name = self.rig, process.name
+        rig.discovery_relays[name] = rig.hub.relay_tcp(name, "discovery", rig.discovery.address)
+        (process.folder / "config.json").write_text(json.dumps(rig.config(name)))
+        self.record_fault(name, "reload", undo)
+        process.signal(signal.SIGHUP)
+
+    def restart(self, process: Process, fault: Fault) -> None:
         if self.rig.finished:
             return
         if process.is_running():
-            self.rig.reactor.callLater(0.05, self.restart, process, directory)
+            self.rig.reactor.callLater(0.05, self.restart, process, fault)
         else:
-            self.start_again(process, directory)
+            self.start_again(process, fault)
 
-    def start_again(self, process: Process, directory: str) -> None:
-        if not self.rig.finished and not process.is_running():
-            process.start(self.rig.config(process.name), directory)
+    def start_again(self, process: Process, fault: Fault) -> None:
+        """Start the process with the present endpoint list, which is old if the process comes up late."""
+        if self.rig.finished or process.is_running():
+            return
+        name = process.name
+        known = self.rig.discovery.listing(name, 0)
+        self.rig.ledger.state_updates += [
+            StateUpdate(self.rig.now(), name, entry["instanceId"], entry["lifecycle"])
+            for entry in known["instances"]
+        ]
+        process.start(self.rig.config(name) | {"known": known}, fault.directory)
+        if fault.hold:
+            process.suspend()
+            self.rig.reactor.callLater(fault.hold, process.resume)
 
     def apply_to_server(self, server: Node, fault: Fault, undo: list) -> None:
         kind = fault.kind
@@ -282,6 +353,10 @@
             self.rig.discovery.change(SERVING, server)
 
     def apply_to_discovery(self, fault: Fault, undo: list) -> None:
+        if fault.kind == "watch-silent":
+            self.rig.discovery.silence_watches()
+            self.record_fault("discovery", fault.kind, undo)
+            return
         attribute = "silent" if fault.kind == "list-silent" else "refuses"
         setattr(self.rig.discovery, attribute, True)
 
--- a/ivystack/rig/scenario.py
+++ b/ivystack/rig/scenario.py
@@ -26,11 +26,13 @@
 Positive = Annotated[float, Meta(gt=0)]
 Seconds = Annotated[float, Meta(ge=0)]
 
-PROCESS_FAULTS = ("kill", "restart", "stop", "pause", "slow", "clock", "syscall", "beside")
+PROCESS_FAULTS = ("kill", "restart", "stop", "pause", "slow", "clock", "syscall", "beside", "reload")
 SERVER_FAULTS = ("node-die", "node-hang", "node-slow", "node-fail", "node-drain", "node-spoil", "origin-slow")
 LINK_FAULTS = ("cut", "hole", "freeze", "delay", "loss", "twice", "rate", "reset", "half-open")
-DISCOVERY_FAULTS = ("list-silent", "list-refuses")
-CLIENT_FAULTS = ("leave",)  # the fraction `part` of the clients waiting at the named proxies disconnects
+DISCOVERY_FAULTS = ("list-silent", "list-refuses", "watch-silent")
+# leave: the fraction `part` of the clients that wait at the named proxies disconnects.  crowd: connections
+# that send nothing take the fraction `part` of the proxies' descriptors.
+CLIENT_FAULTS = ("leave", "crowd")
 PEER_FAULTS = ("lies",)  # a peer with a valid key, run by the rig, sends false messages
 MEMBERSHIP_FAULTS = ("members",)  # a new operators' file changes the members of the consensus group
 
@@ -94,6 +96,8 @@
     way: Literal["both", "there", "back"] = "both"  # there: from the first of `between` to the second
     # kill, restart: state of the directory at the next start
     directory: Literal["kept", "gone", "old", "full", "unwritable"] = "kept"
+    hold: Seconds = 0.0  # kill, restart: seconds for which the new process stands still right after its start
+    kill_after: Seconds = 0.0  # restart: seconds from SIGTERM to SIGKILL; 0: it ends by itself
     duty: Annotated[float, Meta(gt=0, lt=1)] = 0.2  # slow: the fraction of time in which the process runs
     hours: float = 0.0  # clock: offset of the wall clock
     call: Literal[SYSTEM_CALLS] = "accept"  # type: ignore[valid-type]  # syscall: the call that fails
@@ -125,6 +129,7 @@
     served_last: Fraction = 0.0  # the same for requests due in the last `last` seconds
     last: Positive = 2.0
     each_class: Fraction = 0.0  # the same for each class in each third of the load
+    told: bool = False  # nothing to draining servers, counted from when discovery had the drain (told.py)
     orders: bool = False  # at the end all proxies use the same slot order and slot-order has one holder
     linked: bool = False  # at the end each proxy is connected to every member of the consensus group
     # Least number of table operations that are called and answered in the last `last` seconds.
--- /dev/null
+++ b/ivystack/rig/told.py
@@ -0,0 +1,88 @@
+"""Checks that no proxy sends to a draining server what the discovery agent has told it not to send.
+
+What the agent has counts as told, whether or not the proxy has read it, and also while the proxy stands still
+or has not yet started.
+"""
+
+from __future__ import annotations
+
+from ..standin.ledger import SERVING, ListChange
+from .check import Breach
+from .record import US, Record
+
+TOLD_AFTER_SILENCE_US = 6_000_000  # what a silent watch misses, after it fell silent
+TOLD_AFTER_RELOAD_US = 4_000_000  # what a new discovery address has to tell, after SIGHUP
+OUTAGES = ("list-silent", "list-refuses")  # meanwhile the agent learns nothing
+
+
+def told_at(change: ListChange, proxy: str, record: Record) -> int:
+    """Return when a change counts as told to the process of a proxy that runs after the change.
+
+    The result is in microseconds.  A silent or refusing agent tells a process nothing that it had not written
+    to the process before.
+    """
+    told, started = change.at, last_start(proxy, change.at, record)
+    silent_at = [
+        at for at, caller in record.ledger.silenced_watches if caller == proxy and started < at <= told
+    ]
+    if silent_at:
+        told = max(told, max(silent_at) + TOLD_AFTER_SILENCE_US)
+    for fault in record.faults:
+        is_reload = fault.description == "reload" and fault.target == proxy
+        if is_reload and fault.start <= told < fault.start + TOLD_AFTER_RELOAD_US:
+            told = fault.start + TOLD_AFTER_RELOAD_US
+    return told
+
+
+def last_start(proxy: str, before: int, record: Record) -> int:
+    """Return when the process of a proxy that ran at a time was started; 0 if none was."""
+    starts = [
+        at
+        for process in record.processes
+        if process.name == proxy
+        for at, event in process.events
+        if event.startswith("start") and at <= before
+    ]
+    return max(starts, default=0)
+
+
+def after_outages(told: int, change: ListChange, proxy: str, at: int, record: Record) -> int:
+    """Return when a change counts as told in view of the outages of discovery up to an attempt at `at`."""
+    started = last_start(proxy, at, record)
+    for fault in record.faults:
+        end = record.end if fault.end is None else fault.end
+        if fault.description not in OUTAGES or end <= change.at or fault.start > at:
+            continue
+        was_written = any(
+            update.proxy == proxy and update.node == change.node and update.state == change.state
+            and max(change.at, started) <= update.at <= fault.start
+            for update in record.ledger.state_updates
+        )  # fmt: skip
+        if not was_written:
+            told = max(told, end)
+    return told
+
+
+def check_told_servers(record: Record, grace: int, tolerance: int) -> list[Breach]:
+    """Return the attempts that began later than the grace after their server's drain counted as told."""
+    breaches = []
+    changes: dict[str, list[ListChange]] = {}
+    for change in record.ledger.list_changes:
+        changes.setdefault(change.node, []).append(change)
+    for taken in record.ledger.commands:
+        before = [change for change in changes.get(taken.node, ()) if change.at <= taken.at]
+        drain = None
+        for change in before:  # the first of the changes since the server was last serving
+            drain = None if change.state == SERVING else drain or change
+        if drain is None:
+            continue
+        earliest = told_at(drain, taken.proxy, record) + grace + tolerance
+        if taken.at <= earliest:
+            continue
+        told = after_outages(earliest - grace - tolerance, drain, taken.proxy, taken.at, record)
+        latest = told + grace + tolerance
+        if taken.at > latest:
+            text = f"{taken.proxy} sent a request {(taken.at - drain.at) / US:.2f} s after the change"
+            text += f", {(taken.at - latest) / US:.2f} s too late"
+            breaches.append(Breach("nothing new to a draining node (told)", taken.at, taken.node, text))
+    return breaches
--- a/ivystack/standin/discovery.py
+++ b/ivystack/standin/discovery.py
@@ -12,7 +12,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
-from .ledger import DELETED, Ledger, StateUpdate
+from .ledger import DELETED, Ledger, ListChange, StateUpdate
 
 HEARTBEAT_S = 2.0  # seconds between the empty lines on each watch
 
@@ -74,6 +74,7 @@
         self.generation += 1
         for node in nodes:
             self.changes[node.name] = self.generation
+            self.ledger.list_changes.append(ListChange(self.now(), node.name, state))
             destination, source = (
                 (self.deleted_nodes, self.nodes) if state == DELETED else (self.nodes, self.deleted_nodes)
             )
@@ -81,6 +82,11 @@
             destination[node.name] = node, state
         self.notify_watches()
 
+    def silence_watches(self) -> None:
+        """Write nothing more to the open watches, which stay open; further calls are answered."""
+        self.ledger.silenced_watches += [(self.now(), caller) for caller, _ in self.watches.values()]
+        self.watches.clear()
+
     def entry(self, caller: str, node, state: str) -> dict:
         """Return the entry of a cache server in the list that this caller receives."""
         return {
--- a/ivystack/standin/ledger.py
+++ b/ivystack/standin/ledger.py
@@ -47,6 +47,15 @@
     state: str
 
 
+@dataclass(slots=True)
+class ListChange:
+    """A new state of a cache server, as discovery has it."""
+
+    at: int
+    node: str
+    state: str
+
+
 @dataclass
 class Ledger:
     """Everything that the stand-ins of one run recorded."""
@@ -55,6 +64,8 @@
     effects: list[Effect] = field(default_factory=list)
     dropped_repeats: list[Effect] = field(default_factory=list)  # recognized by their idempotency key
     state_updates: list[StateUpdate] = field(default_factory=list)
+    list_changes: list[ListChange] = field(default_factory=list)
+    silenced_watches: list[tuple[int, str]] = field(default_factory=list)  # when, and the proxy's name
     discovery_requests: dict[str, int] = field(default_factory=dict)  # number by proxy
     watch_updates: dict[str, int] = field(default_factory=dict)  # number of lines with a list, by proxy
     origin_requests: int = 0  # that the origin started
--- a/tests/stale_list.py
+++ b/tests/stale_list.py
@@ -15,17 +15,23 @@
 from test_main import free_port
 
 from ivystack.standin.apart import Discovery, Node, in_reactor
-from ivystack.standin.ledger import DRAINING
+from ivystack.standin.ledger import DRAINING, SERVING
 
 GRACE_SECONDS = 1.0
 TOLERANCE_SECONDS = 0.05
 COMMANDS = 120
+COLD_SHARE = 0.1  # of its capacity with which a server starts
 MS = 1_000_000  # nanoseconds
 READ = {"name": "read", "semantics": "pure", "criticality": 1.0}
 SETTINGS = {
     "methods": [READ | {"latency_budget": 20_000 * MS, "give_up": 20_000 * MS}],
     "limits": {"most_write_outs": 3, "may_duplicate": True, "streams_per_conn": 10},
-    "rules": {"stop_sending_within": int(GRACE_SECONDS * 1000) * MS},
+    "rules": {
+        "stop_sending_within": int(GRACE_SECONDS * 1000) * MS,
+        "cold_share": COLD_SHARE,
+        "cold": 60_000 * MS,
+        "overload_factor": 4.0,
+    },
     "discovery": "push",
 }
 
@@ -39,29 +45,39 @@
         self.discovery = Discovery(*self.servers)
         self.known = self.discovery.known
         self.port = free_port()
-        self.clients = []
+        self.clients, self.processes = [], []
         self.rounds = 0
 
-    def start(self, discovery_address=None):
-        """Start the proxy with the list that it had at first."""
+    def start(self, listener=None):
+        """Start the proxy with the list that it had at first; it may inherit the listening socket."""
         path = self.folder / "config.json"
         config = {
-            "listen": f"127.0.0.1:{self.port}", "discovery": discovery_address or self.discovery.address,
+            "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.address,
             "known": self.known, "settings": SETTINGS, "name": "p", "seed": "5",
         }  # fmt: skip
         path.write_text(json.dumps(config))
+        environ = os.environ | {"LB_CONFIG": str(path)}
+        if listener is not None:
+            environ |= {"LB_FD": str(listener.fileno()), "TMPDIR": str(self.folder / "tmp")}
         with open(self.folder / "log", "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-B", "-m", "ivystack"],
-                env=os.environ | {"LB_CONFIG": str(path)},
-                stderr=log,
-            )
+                [sys.executable, "-B", "-m", "ivystack"], env=environ, stderr=log,
+                pass_fds=[] if listener is None else [listener.fileno()],
+            )  # fmt: skip
+        self.processes.append(self.process)
+        return self.process
 
     def drain(self):
         """List two servers as draining; return when that was told, in seconds."""
         in_reactor(self.discovery.standin.change, DRAINING, *(node.standin for node in self.servers[:2]))
         return time.monotonic()
 
+    def restart_servers(self):
+        """List two servers as ready and started just now."""
+        for node in self.servers[:2]:
+            node.standin.started = time.time_ns() // 1000
+        in_reactor(self.discovery.standin.change, SERVING, *(node.standin for node in self.servers[:2]))
+
     def mute_watches(self):
         """Let the open watches fall silent; calls from now on are answered."""
         in_reactor(self.discovery.standin.watches.clear)
@@ -74,6 +90,13 @@
             except ConnectionRefusedError:
                 time.sleep(0.001)
 
+    def reconnect(self):
+        """Open new connections in place of those that were used."""
+        for client in self.clients:
+            client.close()
+        self.clients = []
+        self.connect()
+
     def send_commands(self):
         """Write all commands to the open connections."""
         self.rounds += 1
@@ -118,5 +141,6 @@
     def close(self):
         for client in self.clients:
             client.close()
-        self.process.kill()
-        self.process.wait()
+        for process in self.processes:
+            process.kill()
+            process.wait()
