--- a/ivystack/__main__.py
+++ b/ivystack/__main__.py
@@ -84,6 +84,8 @@
 
 def start(proxy: Proxy, reactor: Any, fleet_services: FleetServices | None = None) -> None:
     """Start the proxy and the fleet services; stop the reactor if that fails."""
+    gc.collect()  # before the port opens: nobody waits for it
+    process_memory.return_free_memory()
     try:
         proxy.start()
         if fleet_services is not None:
@@ -91,8 +93,6 @@
     except Exception as error:
         logger.error("proxy could not start: {}", error)
         reactor.stop()
-    gc.collect()
-    process_memory.return_free_memory()
     proxy.measure_memory()
     gc.freeze()  # objects that exist now live as long as the process: later collections skip them
     gc.set_threshold(*GC_THRESHOLDS)
