A watch that ended while the process stood still is called again before anything is sent

Reading ahead now notices the end, and the end or failure of a call found after a stall leaves the list untrusted until discovery is called again. While a call or stream is open all is read every 0.2 s (was 0.5 s), so that a stall of over 0.35 s is noticed.

test_endpoint_gate, watch_that_ended_during_a_stall: both failed before.

--- a/ivystack/net/discovery_agent.py
+++ b/ivystack/net/discovery_agent.py
@@ -12,6 +12,8 @@
 from twisted.web.iweb import IAgentEndpointFactory, IResponse
 from zope.interface import implementer  # type: ignore[import-untyped]
 
+from .listener import TRANSIENT
+
 CONNECT_TIMEOUT_SECONDS = 2
 
 
@@ -59,14 +61,18 @@
         self._transport, self.connected_at = protocol.transport, self._now()
         return protocol
 
-    def read_now(self) -> None:
-        """Pass on all that has arrived; an end or an error of the connection is left to the reactor."""
+    def read_now(self) -> bool:
+        """Pass on all that has arrived; return whether the connection has ended.
+
+        An ended connection is closed by the reactor, which reads its end again.
+        """
         transport = self._transport
         while transport is not None and transport is self._transport and transport.connected:
             try:
                 data = transport.socket.recv(transport.bufferSize)
-            except OSError:
-                return
+            except OSError as error:
+                return error.errno not in TRANSIENT
             if not data:
-                return
+                return True
             transport.protocol.dataReceived(data)
+        return False
--- a/ivystack/net/endpoint_watch.py
+++ b/ivystack/net/endpoint_watch.py
@@ -106,7 +106,7 @@
     MOVE_UPDATE_WITHIN = 3_500_000
     MOVE_SILENCE_TIMEOUT = 1_500_000
     # Microseconds between the times at which all that has arrived is read, while a call or a stream is open.
-    READ_INTERVAL = 500_000
+    READ_INTERVAL = 200_000
     # Microseconds by which a call of the deadline queue may be late in a process that has not stood still.
     MAX_LAG = 150_000
 
@@ -240,9 +240,14 @@
         latest = self.last_activity_at + self.UPDATE_WITHIN
         if self.update_by is not None:
             latest = min(latest, self.update_by)
+        stood_still = self._has_stood_still()
+        if stood_still:
+            latest = self.drained_at
         request_at = self.backoff.record_failure(self.now(), latest)
         self.next_request = self.deadlines.call_at(request_at, self.request_watch)
-        if has_failed:
+        if stood_still:  # the connection may have ended long ago, and discovery may answer again
+            self.trusted_until = self.drained_at
+        elif has_failed:
             self.trusted_until = request_at + self.MAX_LAG
             if self.listener is not None:
                 self.listener.call_failed(code)
@@ -281,7 +286,9 @@
         if self.is_reading:
             return
         with self.reading():
-            self.agent.read_now()
+            has_ended = self.agent.read_now()
+        if has_ended and self.state in (WatchState.REQUESTING, WatchState.STREAMING):
+            self.connection_broke("watch-ended")
         self.drained_at = self.now()
 
     def answer_due_at(self) -> int | None:
@@ -319,8 +326,11 @@
 
         What is read after the process has stood still may have arrived at any time since the last reading.
         """
-        now = self.now()
-        return now if now - self.drained_at <= self.READ_INTERVAL + self.MAX_LAG else self.drained_at
+        return self.drained_at if self._has_stood_still() else self.now()
+
+    def _has_stood_still(self) -> bool:
+        """Return whether the process has not read for so long that it must have stood still."""
+        return self.now() - self.drained_at > self.READ_INTERVAL + self.MAX_LAG
 
     def change_address(self, address: tuple[str, int]) -> None:
         """Watch the service at another address; the generations continue, so the known list stays valid."""
--- a/tests/test_endpoint_gate.py
+++ b/tests/test_endpoint_gate.py
@@ -186,6 +186,34 @@
     assert serve(ready, client) == b"v"
 
 
+@pytest.mark.parametrize("is_first_call", [False, True])
+def test_a_watch_that_ended_during_a_stall_is_called_again_before_anything_is_sent(
+    start_proxy, is_first_call
+):
+    draining, ready = CacheServer("n0"), CacheServer("n1")
+    if is_first_call:
+        harness = start_proxy(draining, ready)
+        watch, _ = harness.discovery.accept_watch()
+    else:
+        harness, watch = start_streaming(start_proxy, draining, ready)
+    client = harness.client()
+    harness.wait_until(lambda: harness.proxy.client_server.connections)
+
+    def stall():
+        watch.close()
+        client.send(encode_gets(1))
+        harness.now += S
+
+    harness.run_in_reactor(stall)
+    harness.advance_clock(ANSWER_TIMEOUT_US // 2)  # a call after a failure is made 10 to 30 ms later
+    harness.advance_clock(ANSWER_TIMEOUT_US // 5)
+    second, _ = harness.discovery.accept_watch()
+    let_reactor_run(harness)
+    assert open_connections(harness) == 0
+    harness.discovery.send_update(second, 3, draining.endpoint_entry("DRAINING"))
+    assert serve(ready, client) == b"v"
+
+
 def test_a_stall_beside_a_silent_discovery_delays_requests_only_for_the_wait(start_proxy):
     server = CacheServer("n0")
     harness, watch = start_streaming(start_proxy, server)
--- a/tests/test_endpoint_watch.py
+++ b/tests/test_endpoint_watch.py
@@ -34,6 +34,7 @@
 
     def read_now(self):
         """Nothing arrives but what the reactor delivers."""
+        return False
 
     def end_call(self):
         pass
