--- a/ivystack/rig/soak.py
+++ b/ivystack/rig/soak.py
@@ -67,6 +67,9 @@
             else:
                 fault.span, fault.times, fault.every = 0.12, rng.randint(1, 6), 0.4
             faults.append(fault)
+            if kind == "stop" and rng.random() < 0.5:
+                cut_at = round(min(at + rng.uniform(0.05, (fault.span or 0) - 0.2), seconds - 1), 2)
+                faults.append(Fault(at=cut_at, kind="cut", span=0.1, between=[*who, "discovery"]))
             length = max(fault.span or 0.0, fault.hold + 2.5, fault.times * fault.every)
             at += length + rng.uniform(0.5, 2.5)
     return faults
@@ -76,10 +79,10 @@
     """Return faults of discovery and of the links to it, some of them at once with those of the proxies."""
     faults, at = [], rng.uniform(1.0, 4.0)
     while at < seconds - SETTLED_S:
-        kind = rng.choice(["watch-silent", "watch-silent", "list-silent", "list-refuses", "reset"])
+        kind = rng.choice(["watch-silent", "watch-silent", "list-silent", "list-refuses", "cut"])
         fault = Fault(at=round(at, 2), kind=kind)
-        if kind == "reset":
-            fault.between, fault.bytes, fault.span = ["p*", "discovery"], 0, 0.1
+        if kind == "cut":
+            fault.between, fault.span = ["p*", "discovery"], 0.1
         elif kind != "watch-silent":
             fault.span = round(rng.uniform(1.0, 5.0), 2)
         else:
--- a/ivystack/rig/told.py
+++ b/ivystack/rig/told.py
@@ -12,6 +12,7 @@
 
 TOLD_AFTER_SILENCE_US = 6_000_000  # what a silent watch misses, after it fell silent
 TOLD_AFTER_RELOAD_US = 4_000_000  # what a new discovery address has to tell, after SIGHUP
+CUT = "cut <-> discovery"  # of the link of one proxy, which can't be told anything meanwhile
 OUTAGES = ("list-silent", "list-refuses")  # meanwhile the agent learns nothing
 
 
@@ -51,7 +52,8 @@
     started = last_start(proxy, at, record)
     for fault in record.faults:
         end = record.end if fault.end is None else fault.end
-        if fault.description not in OUTAGES or end <= change.at or fault.start > at:
+        is_cut = fault.target == proxy and fault.description == CUT
+        if not (is_cut or fault.description in OUTAGES) or end <= change.at or fault.start > at:
             continue
         was_written = any(
             update.proxy == proxy and update.node == change.node and update.state == change.state
