--- a/ivystack/net/endpoint_gate.py
+++ b/ivystack/net/endpoint_gate.py
@@ -67,8 +67,8 @@
         self.is_open = False
         self.closed_at = self.now()
         logger.info("attempts wait for discovery generation={} code={}", self.watch.generation, code)
+        self._schedule_judgement(self.closed_at + ANSWER_TIMEOUT_US)  # first: the call may raise an exception
         self.watch.call_again(code)
-        self._schedule_judgement(self.closed_at + ANSWER_TIMEOUT_US)
 
     # Events of the watch.
 
