--- a/ivystack/rig/command.py
+++ b/ivystack/rig/command.py
@@ -80,6 +80,11 @@
 def random(seed, seconds, proxies, nodes, group, runs, show, **options) -> None:
     """Play scenarios with random faults."""
     scenarios = [draw.random_scenario(seed + n, seconds, proxies, nodes, int(group)) for n in range(runs)]
+    show_or_play(scenarios, show, **options)
+
+
+def show_or_play(scenarios: list[Scenario], show: bool, **options) -> None:
+    """Print the scenarios as files, or play them and exit with the code of that."""
     if show:
         click.echo("\n".join(map(scenario.to_toml, scenarios)), nl=False)
         return
@@ -92,10 +97,11 @@
 @click.option(
     "--runs", type=click.IntRange(1, 1000), default=1, show_default=True, help="Number of consecutive seeds."
 )
+@click.option("--show", is_flag=True, help="Print the drawn scenario as a file instead of playing it.")
 @run_options
-def play_soak(seed, seconds, runs, **options) -> None:
+def play_soak(seed, seconds, runs, show, **options) -> None:
     """Play scenarios in which endpoint lists are out of date."""
-    sys.exit(play_scenarios([soak.soak_scenario(seed + n, seconds) for n in range(runs)], **options))
+    show_or_play([soak.soak_scenario(seed + n, seconds) for n in range(runs)], show, **options)
 
 
 @rig.command("swarm")
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -22,6 +22,7 @@
     "rig list": ([], 0),
     "rig play": (["first", "--seconds", "4", "--quiet", "--keep", "{folder}"], 0),
     "rig random": (["--seed", "1", "--show"], 0),
+    "rig soak": (["--seed", "1", "--show"], 0),
     "rig swarm": (["--proxies", "2", "--nodes", "2", "--seconds", "2", "--fault", "slow", "--aside"], 0),
     "rig logs": (["{folder}"], 0),
     "rig schedules": (["--count", "2"], 0),
