--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -201,7 +201,6 @@
     def open_sockets(self) -> None:
         """Start accepting clients and watching the endpoint list."""
         self.measure_memory()
-        self.endpoint_gate.close("start")
         if self.configuration.peer_listen:
             self.open_gossip_socket(*self.configuration.peer_listen)
         if self.configuration.inherited_descriptor is not None:
@@ -213,6 +212,7 @@
             self.port = self.listen(
                 self.reactor, *self.configuration.listen, self.client_server, LISTEN_BACKLOG
             )
+        self.endpoint_gate.close("start")  # in the turn in which the port opens: nothing is read before
         logger.info("proxy started name={} nodes={}", self.configuration.name, len(self.balancer.servers))
         self.started = True
         self.request_handler.run_due()
