--- a/ivystack/standin/discovery.py
+++ b/ivystack/standin/discovery.py
@@ -57,6 +57,8 @@
         self.deleted_nodes: dict[str, tuple] = {}
         self.watches: dict = {}  # request to [caller, last generation written]
         self.refuses = self.silent = False  # injected faults: answer 503; write nothing to watches
+        self.answer_delay = 0.0  # injected fault: seconds from a call to its answer
+        self.unanswered: dict = {}  # request of a call to the timer of its late answer
         self.port: Any = None  # the listening port; the reactor is untyped here
         self.address: tuple[str, int] | None = None
 
@@ -111,10 +113,39 @@
         stream = request.args.get(b"stream") == [b"1"]
         if not stream:
             return orjson.dumps(self.listing(caller, 0))
-        self.watches[request] = [caller, int(request.args.get(b"index", [b"0"])[0])]
+        since = int(request.args.get(b"index", [b"0"])[0])
+        if self.answer_delay:
+            self.unanswered[request] = self.reactor.callLater(
+                self.answer_delay, self.open_watch, request, caller, since
+            )
+            request.notifyFinish().addBoth(lambda _: self.drop_call(request))
+        else:
+            self.open_watch(request, caller, since)
+        return NOT_DONE_YET
+
+    def open_watch(self, request, caller: str, since: int) -> None:
+        """Answer a call with the changes since a generation, and write further changes as they are made."""
+        self.unanswered.pop(request, None)
+        self.watches[request] = [caller, since]
         request.notifyFinish().addBoth(lambda _: self.watches.pop(request, None))
         self.notify_watch(request, True)
-        return NOT_DONE_YET
+
+    def drop_call(self, request) -> None:
+        """Forget a call that ended before its answer."""
+        timer = self.unanswered.pop(request, None)
+        if timer is not None:
+            timer.cancel()
+
+    def reset_calls(self) -> None:
+        """Reset the connections of the calls that have no answer yet, and of the open watches."""
+        for request in [*self.unanswered]:
+            request.transport.abortConnection()
+        self.reset_watches()
+
+    def reset_watches(self) -> None:
+        """Reset the connections of the open watches; further calls are answered."""
+        for request in [*self.watches]:
+            request.transport.abortConnection()
 
     def notify_watches(self) -> None:
         """Write the changes to each watch that has not received them."""
--- a/tests/stale_list.py
+++ b/tests/stale_list.py
@@ -50,12 +50,7 @@
 
     def start(self, listener=None):
         """Start the proxy with the list that it had at first; it may inherit the listening socket."""
-        path = self.folder / "config.json"
-        config = {
-            "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.address,
-            "known": self.known, "settings": SETTINGS, "name": "p", "seed": "5",
-        }  # fmt: skip
-        path.write_text(json.dumps(config))
+        path = self.write_configuration()
         environ = os.environ | {"LB_CONFIG": str(path)}
         if listener is not None:
             environ |= {"LB_FD": str(listener.fileno()), "TMPDIR": str(self.folder / "tmp")}
@@ -67,6 +62,16 @@
         self.processes.append(self.process)
         return self.process
 
+    def write_configuration(self):
+        """Write the proxy's configuration, and return its path."""
+        path = self.folder / "config.json"
+        config = {
+            "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.address,
+            "known": self.known, "settings": SETTINGS, "name": "p", "seed": "5",
+        }  # fmt: skip
+        path.write_text(json.dumps(config))
+        return path
+
     def drain(self):
         """List two servers as draining; return when that was told, in seconds."""
         in_reactor(self.discovery.standin.change, DRAINING, *(node.standin for node in self.servers[:2]))
@@ -82,6 +87,28 @@
         """Let the open watches fall silent; calls from now on are answered."""
         in_reactor(self.discovery.standin.watches.clear)
 
+    def reset_watches(self):
+        """Reset the connections of the open watches; calls from now on are answered."""
+        in_reactor(self.discovery.standin.reset_watches)
+
+    def reset_calls(self):
+        """Reset the connections of all calls and watches; further calls are answered."""
+        in_reactor(self.discovery.standin.reset_calls)
+
+    def answer_late(self, seconds):
+        """Let the agent answer each further call after a time, as on a machine that is busy."""
+        self.discovery.standin.answer_delay = seconds
+
+    def move_discovery(self):
+        """Give the agent a second address, and tell the proxy by SIGHUP; return when it was told."""
+        standin = self.discovery.standin
+        standin.address = None
+        in_reactor(standin.listen)
+        self.discovery.address = "{}:{}".format(*standin.address)
+        self.write_configuration()
+        self.process.send_signal(signal.SIGHUP)
+        return time.monotonic()
+
     def connect(self, count=12):
         """Open connections for the commands, from the moment in which the proxy listens."""
         while len(self.clients) < count:
