A late discovery agent: attempts wait for its answer, not for 50 ms

Callers' requests went to draining servers later than the grace: the gate of the endpoint list opened 50 ms after a call, for `no-answer`, where the agent shares a busy machine and answered later. The same constant renewed the trust in the list of a running process after a reset, a silence, SIGHUP and at a hand-over.

The class: an event or a time was taken for proof. Discovery refuses where a connection is refused, a status is not 200 or two calls in a row end without a line; one call that is reset proves nothing, as watches are reset where discovery is there. A line, a reset and a SIGHUP count from when the process was last known to run, not from when they were read. SIGHUP reads what the former address has told before it ends that watch. A silent watch is called again 4.5 s after its last line (5 s before), so that an answer at 1.5 s is within the grace. A request waits until its own deadline and is then rejected; one whose client has left is let go at once.

--- a/ivystack/configuration/reload.py
+++ b/ivystack/configuration/reload.py
@@ -18,6 +18,7 @@
     "streams_per_connection",
     "idle_timeout",
     "connect_timeout",
+    "drain_grace",
 )
 PARAMETER_FIELDS = ("max_attempts", "hedging_enabled", "retry_after", "clock_granularity")
 SLOW_START_FIELDS = ("initial_fraction", "duration", "spill_over")
--- a/ivystack/net/endpoint_gate.py
+++ b/ivystack/net/endpoint_gate.py
@@ -2,8 +2,8 @@
 
 What the discovery agent has counts as told, even if this process has not read it: it may have just started,
 or have stood still.  Before attempts are sent, all that the watch has received is read, and if discovery had
-to be heard meanwhile and was not, it is called again.  Attempts wait for the answer of that call for a short
-time.  Where discovery refuses the call or does not answer, the list as it is has to do.
+to be heard meanwhile and was not, it is called.  Attempts wait for the answer for as long as the agent of a
+busy machine may take.  Where discovery refuses calls or does not answer, the list as it is has to do.
 """
 
 from __future__ import annotations
@@ -15,17 +15,21 @@
 
 from .deadlines import DeadlineQueue
 from .endpoint_watch import ANSWER_TIMEOUT_US, EndpointWatch
+from .list_freshness import ListFreshness
 
 # How old the last look at the watch may be when an attempt is sent.  A stall of 0.15 s may follow, and the
 # grace of a drain has to cover both.
 CHECK_INTERVAL_US = 10_000
 MAX_JUDGEMENT_LAG_US = 20_000  # a judgement that is later than this comes after a stall
+JUDGEMENT_RETRY_US = 250_000  # what stalled this process may have stalled the agent too
+MAX_CLOSED_US = 2 * ANSWER_TIMEOUT_US  # after which a stall no longer puts off the judgement
 MICROSECONDS_PER_MILLISECOND = 1_000
 
 
 class EndpointGate:
     """Answers whether attempts may be sent by the endpoint list as it is; closed while discovery is called.
 
+    :param freshness: which the watch keeps up to date
     :param on_open: called soon after the gate has opened
     """
 
@@ -33,12 +37,13 @@
         self,
         reactor: Any,
         watch: EndpointWatch,
+        freshness: ListFreshness,
         deadlines: DeadlineQueue,
         now: Callable[[], int],
         on_open: Callable[[], object],
     ) -> None:
-        self.reactor, self.watch, self.deadlines, self.now = reactor, watch, deadlines, now
-        self.on_open = on_open
+        self.reactor, self.watch, self.freshness = reactor, watch, freshness
+        self.deadlines, self.now, self.on_open = deadlines, now, on_open
         self.is_open = True
         self.closed_at = 0
         self._checked_at = 0
@@ -56,19 +61,24 @@
         if now - self._checked_at >= CHECK_INTERVAL_US:
             self.watch.read_now()
             self._checked_at = now
-            if now > self.watch.trusted_until:
+            if not self.freshness.is_fresh(now):
                 self.close("overdue")
         return self.is_open
 
+    @property
+    def generation(self) -> int:
+        """The generation of the endpoint list."""
+        return self.watch.generation
+
     def close(self, code: str) -> None:
-        """Call discovery, and allow no attempts until it has answered; `code` is the reason."""
+        """Allow no attempts until discovery has answered a call; `code` is the reason."""
         if not self.is_open:
             return
         self.is_open = False
         self.closed_at = self.now()
         logger.info("attempts wait for discovery generation={} code={}", self.watch.generation, code)
         self._schedule_judgement(self.closed_at + ANSWER_TIMEOUT_US)  # first: the call may raise an exception
-        self.watch.call_again(code)
+        self.watch.ensure_call(code)
 
     # Events of the watch.
 
@@ -80,6 +90,11 @@
         """Allow attempts by the list as it is, because discovery can't be heard."""
         self._open(code)
 
+    def call_lost(self, code: str) -> None:
+        """Have discovery called again without a pause, if attempts wait for it."""
+        if not self.is_open:
+            self.deadlines.call_at(self.now(), self.watch.request_watch)
+
     # The wait for an answer.
 
     def _schedule_judgement(self, due_at: int) -> None:
@@ -95,16 +110,18 @@
             self.watch.read_now()
         if self.is_open:
             return
-        now = self.now()
-        answer_due_at = self.watch.answer_due_at()
-        if answer_due_at is None:  # not connected, which a process that stood still can't hold against anyone
-            answer_due_at = now + ANSWER_TIMEOUT_US if now - due_at > MAX_JUDGEMENT_LAG_US else now
+        now, answer_due_at = self.now(), self.watch.answer_due_at()
+        if answer_due_at is None or (self._is_after_stall(due_at, now) and answer_due_at <= now):
+            answer_due_at = now + JUDGEMENT_RETRY_US
         if answer_due_at > now:
             self._schedule_judgement(answer_due_at)
             return
-        self.watch.trust_without_answer()
+        self.watch.go_without_answer()
         self._open("no-answer")
 
+    def _is_after_stall(self, due_at: int, now: int) -> bool:
+        return now - due_at > MAX_JUDGEMENT_LAG_US and now - self.closed_at < MAX_CLOSED_US
+
     def _open(self, code: str) -> None:
         if self.is_open:
             return
--- a/ivystack/net/endpoint_watch.py
+++ b/ivystack/net/endpoint_watch.py
@@ -1,6 +1,7 @@
 """Watches the endpoint list by a streaming HTTP request to discovery, which is retried after a failure.
 
-Updates are passed to a callback, which stores the list.  All times are whole microseconds.
+Updates are passed to a callback, which stores the list.  How each call and each watch ends is recorded in
+`ListFreshness`.  All times are whole microseconds.
 """
 
 from __future__ import annotations
@@ -8,13 +9,12 @@
 import enum
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import AbstractContextManager, contextmanager, nullcontext
-from math import inf
 from typing import Any, NamedTuple, Protocol
 
 import orjson
 from loguru import logger
 from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectError
+from twisted.internet.error import ConnectionRefusedError, TimeoutError
 from twisted.internet.protocol import connectionDone
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
@@ -23,13 +23,17 @@
 from ..balancing.poll_backoff import PollBackoff
 from .deadlines import Deadline, DeadlineQueue
 from .discovery_agent import DiscoveryAgent
+from .discovery_url import watch_url
+from .list_freshness import MAX_LAG_US, ListFreshness
 
-PATH = b"http://%b:%d/v1/endpoints?stream=1&index=%d"
 MAX_LINE_BYTES = 4 << 20
 STATUS_OK = 200
 MAX_CHANGES_LOGGED = 8  # of one update
-# Microseconds from a call until discovery counts as silent.  The agent runs on the same machine.
-ANSWER_TIMEOUT_US = 50_000
+# Microseconds from a call until discovery counts as silent.  The agent shares a machine that may be busy: its
+# answer may take 1.5 s.
+ANSWER_TIMEOUT_US = 2_000_000
+MAX_LOST_CALLS = 2  # in a row, until discovery counts as refusing: a reset of one call proves nothing
+MICROSECONDS_PER_MILLISECOND = 1_000
 
 
 class UpdateResult(NamedTuple):
@@ -50,7 +54,18 @@
         """Discovery has sent a line."""
 
     def call_failed(self, code: str) -> None:
-        """A call has ended without a line."""
+        """Discovery can't be heard: it refuses calls or does not answer them."""
+
+    def call_lost(self, code: str) -> None:
+        """A call has ended without a line, which does not show whether discovery can be heard."""
+
+
+class CallEnd(enum.Enum):
+    """What the end of a call or a watch says of discovery."""
+
+    REFUSED = "refused"  # it does not serve now
+    SILENT = "silent"  # it has sent nothing for longer than it may take
+    LOST = "lost"  # nothing: the connection or what came on it was unusable
 
 
 class WatchState(enum.Enum):
@@ -71,7 +86,7 @@
 
     def __init__(self, watch: EndpointWatch) -> None:
         self.watch = watch
-        self.has_line = False  # a line was received
+        self.has_line = False  # a usable line was received
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802, D102
         with self.watch.reading(), self.watch.update_batch():
@@ -79,7 +94,6 @@
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802, D102
         if self.watch.body is self:
-            self.has_line = True
             self.watch.line_received(line)
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802, D102
@@ -97,18 +111,16 @@
     entry.
     """
 
-    SILENCE_TIMEOUT = 5_000_000  # microseconds: two missed heartbeat lines (2 s each) plus 1 s
+    SILENCE_TIMEOUT = 4_500_000  # microseconds: two missed heartbeat lines (2 s each) plus 0.5 s
     # Microseconds from the last activity to the next request at the latest.  Changes must be known within
     # 6 s, of which 0.5 s is for the answer.
     UPDATE_WITHIN = 5_500_000
     # Microseconds.  After a change of address changes must be known within 4 s, of which 0.5 s is for the
     # answer.  Until then a request that is not answered is repeated sooner.
     MOVE_UPDATE_WITHIN = 3_500_000
-    MOVE_SILENCE_TIMEOUT = 1_500_000
+    MOVE_SILENCE_TIMEOUT = ANSWER_TIMEOUT_US
     # Microseconds between the times at which all that has arrived is read, while a call or a stream is open.
     READ_INTERVAL = 200_000
-    # Microseconds by which a call of the deadline queue may be late in a process that has not stood still.
-    MAX_LAG = 150_000
 
     def __init__(
         self,
@@ -118,17 +130,19 @@
         backoff: PollBackoff,
         address: tuple[str, int],
         on_update: UpdateCallback,
+        freshness: ListFreshness,
         update_batch: Callable[[], AbstractContextManager[None]] = nullcontext,
     ) -> None:
         """Watch the service at `address` once `request_watch` is called.
 
         :param backoff: determines the pause before the next request after a failure.
         :param on_update: called with an update's entries, and whether they are the complete list.
+        :param freshness: told of all that says how new the list is.
         :param update_batch: the context in which the updates are applied that are received at once.
         """
         self.agent = DiscoveryAgent(reactor, now)
         self.deadlines, self.now, self.backoff, self.address = deadlines, now, backoff, address
-        self.on_update, self.update_batch = on_update, update_batch
+        self.on_update, self.freshness, self.update_batch = on_update, freshness, update_batch
         self.listener: WatchListener | None = None
         self.state = WatchState.WAITING
         self.generation = 0
@@ -141,9 +155,7 @@
         self.requested_at = now()
         self.drained_at = now()  # when all that had arrived was last read
         self.is_reading = False  # input is being handled
-        # Until when the list is as new as it has to be, if nothing more is heard.  In a process that does not
-        # stand still, each line, failure and silence of a call extends it in time.
-        self.trusted_until: float = inf
+        self.lost_calls = 0  # in a row
         self.next_read: Deadline | None = None  # while a call or a stream is open
         self.silence_timeout: Deadline | None = None
         self.next_request: Deadline | None = None
@@ -153,6 +165,16 @@
         """Whether a response is being received, so that changes arrive as they are made."""
         return self.state is WatchState.STREAMING
 
+    @property
+    def is_open(self) -> bool:
+        """Whether a call or the watch that it has opened is in progress."""
+        return self.state in (WatchState.REQUESTING, WatchState.STREAMING)
+
+    @property
+    def awaits_answer(self) -> bool:
+        """Whether a call is in progress of which no usable line was received."""
+        return self.is_open and not (self.body is not None and self.body.has_line)
+
     def load_known(self, listing: dict) -> None:
         """Start from a known listing; raises the errors of `apply_listing`."""
         self.apply_listing(listing)
@@ -164,11 +186,10 @@
         if self.next_request is not None:
             self.next_request.cancel()
         since = 0 if self.is_incomplete else self.generation
-        host, port = self.address
         self.requested_at = self.drained_at = self.now()
         self.record_activity(self.requested_at)
-        self._schedule_read(ANSWER_TIMEOUT_US + 1)
-        request = self.pending_request = self.agent.request(b"GET", PATH % (host.encode(), port, since))
+        self._schedule_read(self.READ_INTERVAL)
+        request = self.pending_request = self.agent.request(b"GET", watch_url(self.address, since))
         self.state = WatchState.REQUESTING
         request.addCallbacks(self._response_begun, self._request_failed, (request,), errbackArgs=(request,))
 
@@ -180,6 +201,17 @@
             self._end_call(code)
         self.request_watch()
 
+    def ensure_call(self, code: str) -> None:
+        """Have a call in progress whose answer may still come; make a call if there is none.
+
+        :param code: the reason for the log.
+        """
+        if self.awaits_answer:
+            answer_due_at = self.answer_due_at()
+            if answer_due_at is None or answer_due_at > self.now():
+                return
+        self.call_again(code)
+
     def record_activity(self, at: int) -> None:
         """Restart the silence timeout, which detects a host that vanished without closing the connection.
 
@@ -190,13 +222,14 @@
         self.last_activity_at = at
         moved = self.update_by is not None and self.last_activity_at < self.update_by
         timeout_at = self.last_activity_at + (self.MOVE_SILENCE_TIMEOUT if moved else self.SILENCE_TIMEOUT)
-        self.silence_timeout = self.deadlines.call_at(timeout_at, self.connection_broke, "silent")
+        self.silence_timeout = self.deadlines.call_at(
+            timeout_at, self.connection_broke, "silent", CallEnd.SILENT
+        )
 
     def line_received(self, line: bytes) -> None:
         """Handle a line of the stream; end the connection if the line is invalid."""
         self.update_by = None
-        self.record_activity(self._arrival_time())
-        self.trusted_until = self.last_activity_at + self.UPDATE_WITHIN + self.MAX_LAG
+        self.record_activity(self.drained_at)  # it arrived since then, but the stream may be silent by now
         if not line.strip():
             self._report_heard()
             return
@@ -214,6 +247,11 @@
             self.connection_broke("unusable-entry")
 
     def _report_heard(self) -> None:
+        self.freshness.line_arrived(self.last_activity_at)
+        if self.awaits_answer and self.body is not None:
+            self.body.has_line, self.lost_calls = True, 0
+            answer_ms = (self.now() - self.requested_at) // MICROSECONDS_PER_MILLISECOND
+            logger.info("discovery answered generation={} answer_ms={}", self.generation, answer_ms)
         if self.listener is not None:
             self.listener.heard()
 
@@ -231,28 +269,45 @@
             logger.info("server states changed generation={} servers={} states={}", generation, count, named)
         return result.has_new_invalid_entry
 
-    def connection_broke(self, code: str) -> None:
-        """End the request or stream, if there is one, and schedule the next request unless stopped."""
-        has_failed = self.state is not WatchState.WAITING and not (self.body and self.body.has_line)
+    def connection_broke(self, code: str, end: CallEnd = CallEnd.LOST) -> None:
+        """End the request or stream, if there is one, and schedule the next request unless stopped.
+
+        :param end: what this says of discovery, for a process that has not stood still meanwhile.
+        """
+        is_answer_missing, stood_still = self.awaits_answer, self._has_stood_still()
         self._end_call(code)
         if self.state is WatchState.STOPPED:
             return
+        next_request_at = self._schedule_request(at_once=stood_still)
+        if stood_still:  # the connection may have ended long ago, and discovery may answer again
+            self.freshness.watch_lost(self.drained_at)
+        elif is_answer_missing:
+            self._call_failed(code, end, next_request_at)
+        elif end is not CallEnd.SILENT:  # what a silent watch misses counts as told later
+            self.freshness.watch_lost(self.drained_at)
+
+    def _schedule_request(self, at_once: bool) -> int:
+        """Schedule the next request and return its time, which is as early as possible with `at_once`."""
         latest = self.last_activity_at + self.UPDATE_WITHIN
         if self.update_by is not None:
             latest = min(latest, self.update_by)
-        stood_still = self._has_stood_still()
-        if stood_still:
-            latest = self.drained_at
-        request_at = self.backoff.record_failure(self.now(), latest)
+        request_at = self.backoff.record_failure(self.now(), self.drained_at if at_once else latest)
         self.next_request = self.deadlines.call_at(request_at, self.request_watch)
-        if stood_still:  # the connection may have ended long ago, and discovery may answer again
-            self.trusted_until = self.drained_at
-        elif has_failed:
-            self.trusted_until = request_at + self.MAX_LAG
+        return request_at
+
+    def _call_failed(self, code: str, end: CallEnd, next_request_at: int) -> None:
+        self.lost_calls = self.lost_calls + 1 if end is CallEnd.LOST else 0
+        if end is CallEnd.LOST and self.lost_calls < MAX_LOST_CALLS:
+            self.freshness.watch_lost(self.drained_at)
             if self.listener is not None:
-                self.listener.call_failed(code)
+                self.listener.call_lost(code)
+            return
+        if end is CallEnd.SILENT:
+            self.freshness.call_unanswered(next_request_at + ANSWER_TIMEOUT_US)
         else:
-            self.trusted_until = min(self.trusted_until, request_at + self.MAX_LAG)
+            self.freshness.call_refused(self.now(), next_request_at)
+        if self.listener is not None:
+            self.listener.call_failed(code)
 
     def _end_call(self, code: str) -> None:
         """End the request or stream, if there is one; `code` is logged as the reason."""
@@ -287,21 +342,25 @@
             return
         with self.reading():
             has_ended = self.agent.read_now()
-        if has_ended and self.state in (WatchState.REQUESTING, WatchState.STREAMING):
+        if has_ended and self.is_open:
             self.connection_broke("watch-ended")
         self.drained_at = self.now()
 
     def answer_due_at(self) -> int | None:
-        """Return when discovery counts as silent, if the open call has no answer by then.
+        """Return when discovery counts as silent, if it has not answered the open call or the next by then.
 
-        The call is written once its connection is established; before that, the result is None.
+        The result is None while a connection is being established, because the call is written after that.
         """
+        if self.state is WatchState.WAITING:
+            due_at = self.now() if self.next_request is None else self.next_request.due_at
+            return int(due_at) + ANSWER_TIMEOUT_US
         connected_at = self.agent.connected_at
         return None if connected_at is None else connected_at + ANSWER_TIMEOUT_US
 
-    def trust_without_answer(self) -> None:
-        """Trust the list until the open call is repeated, because discovery is silent."""
-        self.trusted_until = max(self.requested_at, self.last_activity_at) + self.UPDATE_WITHIN + self.MAX_LAG
+    def go_without_answer(self) -> None:
+        """Use the list as it is until the open call is repeated, because discovery is silent."""
+        next_request_by = max(self.requested_at, self.last_activity_at) + self.UPDATE_WITHIN
+        self.freshness.call_unanswered(next_request_by + ANSWER_TIMEOUT_US)
 
     def _schedule_read(self, delay: int) -> None:
         if self.next_read is not None:
@@ -310,32 +369,25 @@
 
     def _read_regularly(self) -> None:
         self.read_now()
-        if self.state not in (WatchState.REQUESTING, WatchState.STREAMING):
+        if not self.is_open:
             return
-        delay, answer_due_at = self.READ_INTERVAL, self.answer_due_at()
-        is_unanswered = self.body is None or not self.body.has_line
-        if is_unanswered and answer_due_at is not None:
-            if answer_due_at > self.now():
-                delay = answer_due_at - self.now()
-            else:
-                self.trust_without_answer()
-        self._schedule_read(delay)
-
-    def _arrival_time(self) -> int:
-        """Return a time before which the line that is being handled has not arrived.
-
-        What is read after the process has stood still may have arrived at any time since the last reading.
-        """
-        return self.drained_at if self._has_stood_still() else self.now()
+        if self.awaits_answer:
+            answer_due_at = self.answer_due_at()
+            if answer_due_at is not None and answer_due_at <= self.now():
+                self.go_without_answer()
+        self._schedule_read(self.READ_INTERVAL)
 
     def _has_stood_still(self) -> bool:
         """Return whether the process has not read for so long that it must have stood still."""
-        return self.now() - self.drained_at > self.READ_INTERVAL + self.MAX_LAG
+        return self.now() - self.drained_at > self.READ_INTERVAL + MAX_LAG_US
 
     def change_address(self, address: tuple[str, int]) -> None:
         """Watch the service at another address; the generations continue, so the known list stays valid."""
         if address == self.address or self.state is WatchState.STOPPED:
             return
+        # The operators' signal may have come at any time since this process last ran.
+        self.freshness.address_changed(self.drained_at)
+        self.read_now()  # what the former address has told
         self.address = address
         self.backoff.failures = 0
         self.update_by = self.now() + self.MOVE_UPDATE_WITHIN
@@ -343,9 +395,9 @@
 
     def stop(self) -> None:
         """Stop the watch permanently."""
-        is_open = self.state in (WatchState.REQUESTING, WatchState.STREAMING)
+        was_open = self.is_open
         self.state = WatchState.STOPPED
-        if is_open:
+        if was_open:
             self._end_call("stopping")
 
     def _response_begun(self, response: Any, request: Deferred[IResponse]) -> None:
@@ -356,9 +408,14 @@
         if not is_current:
             body.transport.loseConnection()
         elif response.code != STATUS_OK and self.body is body:
-            self.connection_broke(f"status-{response.code}")
+            self.connection_broke(f"status-{response.code}", CallEnd.REFUSED)
 
     def _request_failed(self, reason: Failure, request: Deferred[IResponse]) -> None:
-        if request is self.pending_request:
-            is_refused = reason.check(ConnectError)
-            self.connection_broke("refused" if is_refused else type(reason.value).__name__)
+        if request is not self.pending_request:
+            return
+        if reason.check(ConnectionRefusedError):
+            self.connection_broke("refused", CallEnd.REFUSED)
+        elif reason.check(TimeoutError):  # nobody has accepted the connection
+            self.connection_broke("connect-timeout", CallEnd.SILENT)
+        else:
+            self.connection_broke(type(reason.value).__name__)
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -22,6 +22,7 @@
 from .hot_restart import HotRestart, adopt_listening_socket
 from .memory_budget import MemoryBudget, budget_capacity, max_connections
 from .hot_restart_state import ProcessState, export_state, import_state
+from .list_freshness import ListFreshness
 from .listener import ClientListener, listen
 from .request_handler import ANSWER_GRACE_US, RequestHandler
 from .server_pool import PoolSettings
@@ -59,6 +60,7 @@
         self.server_pools = self._create_server_pools()
         self.client_server = self._create_client_server()
         self.endpoints = EndpointList(self.settings, self.server_pools, handler, self.now)
+        self.list_freshness = ListFreshness(self.settings.drain_grace)
         self.endpoint_watch = EndpointWatch(
             reactor,
             self.deadlines,
@@ -66,13 +68,19 @@
             self.settings.poll_backoff,
             configuration.discovery,
             self.endpoints.update,
+            self.list_freshness,
             self.endpoints.batch,
         )
         self.endpoint_gate = EndpointGate(
-            reactor, self.endpoint_watch, self.deadlines, self.now, handler.held.release
+            reactor,
+            self.endpoint_watch,
+            self.list_freshness,
+            self.deadlines,
+            self.now,
+            handler.held.release,
         )
         self.gossip = GossipSocket(configuration.peers, handler.receive_gossip)
-        handler.connect(self.server_pools, self.gossip, self.endpoint_gate.allows_attempts)
+        handler.connect(self.server_pools, self.gossip, self.endpoint_gate)
         self.hot_restart = HotRestart(
             reactor,
             self.deadlines,
@@ -294,6 +302,7 @@
             last_deadline = max(self.request_handler.latest_deadline(), self.now())
             self.deadlines.call_at(last_deadline + 2 * ANSWER_GRACE_US, self.settings.discard, replaced)
         self.gossip.set_peers(configuration.peers)
+        self.list_freshness.set_drain_grace(self.settings.drain_grace)
         self.endpoint_watch.change_address(configuration.discovery)
         self.request_handler.run_due()
 
--- a/ivystack/net/request_handler.py
+++ b/ivystack/net/request_handler.py
@@ -39,6 +39,7 @@
 from .active_request import ActiveRequest
 from .client_server import ClientRequest
 from .deadlines import Deadline, DeadlineQueue
+from .endpoint_gate import EndpointGate
 from .gossip_socket import GossipSocket
 from .held_requests import HeldRequests
 from .in_flight_attempt import InFlightAttempt
@@ -74,7 +75,7 @@
 
     server_pools: ServerPools
     gossip: GossipSocket
-    may_send: Callable[[], bool]  # whether the endpoint list is as new as it has to be
+    gate: EndpointGate  # whether the endpoint list is as new as it has to be
 
     def __init__(
         self, settings: InstanceConfiguration, deadlines: DeadlineQueue, now: Callable[[], int]
@@ -88,14 +89,21 @@
         self.answer_by: int | None = None
         self.long_writes = LongWrites(self)
         self.abandoned_ids = AbandonedIds()
-        self.held = HeldRequests(deadlines, now, self.decide, self.run_due)
+        self.held = HeldRequests(
+            deadlines,
+            now,
+            self.decide,
+            self.give_up,
+            lambda request: self.balancer.retry_policy.answer_deadline(request),
+            self.run_due,
+        )
         self._ended: deque[EndedAttempt] = deque()
         self._is_running = False  # `run_due` is running or deferred
         self._wakeup: Deadline | None = None
 
-    def connect(self, server_pools: ServerPools, gossip: GossipSocket, may_send: Callable[[], bool]) -> None:
+    def connect(self, server_pools: ServerPools, gossip: GossipSocket, gate: EndpointGate) -> None:
         """Set the server pools that send attempts, the socket that sends gossip, and when attempts may go."""
-        self.server_pools, self.gossip, self.may_send = server_pools, gossip, may_send
+        self.server_pools, self.gossip, self.gate = server_pools, gossip, gate
 
     def latest_deadline(self) -> int:
         """Return the latest deadline of the active requests in microseconds, or 0 if there are none."""
@@ -223,6 +231,7 @@
     def _close(self, active: ActiveRequest) -> None:
         active.request.concluded = True
         active.cancel_deadlines()
+        self.held.discard(active.request)
         del self.active[active.request]
         self.requests.remove(active.slot)
 
@@ -243,8 +252,8 @@
 
     def decide(self, request: Request, now: int) -> None:
         """Have the balancer route a request, and apply the decision; hold the request if none may be made."""
-        if not self.may_send():
-            self.held.add(request)
+        if not self.gate.allows_attempts():
+            self._hold(request)
             return
         decision: Decision
         try:
@@ -254,6 +263,15 @@
             decision = Fail()
         self.apply_decision(request, decision)
 
+    def _hold(self, request: Request) -> None:
+        if trace.enabled and request in self.active:
+            trace.step(self.active[request].frame.request_id, "held", generation=self.gate.generation)
+        self.held.add(request)
+
+    def give_up(self, request: Request) -> None:
+        """Answer a request that can't be sent in its time, as rejected unless an attempt may have run."""
+        self.apply_decision(request, self.balancer.retry_policy.give_up(request))
+
     def apply_decision(self, request: Request, decision: Decision) -> None:
         """Carry out a decision for a request."""
         match decision:
@@ -281,7 +299,10 @@
         if trace.enabled:
             number = len(request.attempts)
             left_ms = (timeout_at - self.now()) // MICROSECONDS_PER_MILLISECOND
-            trace.step(active.frame.request_id, "attempt", number=number, server=server.name, left_ms=left_ms)
+            trace.step(
+                active.frame.request_id, "attempt", number=number, server=server.name, left_ms=left_ms,
+                generation=self.gate.generation,
+            )  # fmt: skip
         self.server_pools.send(in_flight, server.name, timeout_at)
 
     def cancel(self, attempts: list[Attempt]) -> None:
