--- a/ivystack/net/endpoint_list.py
+++ b/ivystack/net/endpoint_list.py
@@ -42,9 +42,9 @@
     @contextmanager
     def batch(self) -> Iterator[None]:
         """Apply the updates within the context before any decision is made by one of them."""
-        with self.request_handler.defer_run_due():
+        with self.request_handler.due.deferred():
             yield
-        self.request_handler.run_due_soon()
+        self.request_handler.due.run_soon()
 
     def update(self, entries: list[dict], is_complete: bool) -> UpdateResult:
         """Apply an update.
@@ -55,7 +55,7 @@
         servers, all_valid, has_new_invalid_entry = [], True, False
         states_before = {server.name: server.state for server in self.balancer.servers.values()}
         # The balancer decides on attempts that the update ends only after the whole update is applied.
-        with self.request_handler.defer_run_due():
+        with self.request_handler.due.deferred():
             for entry in entries:
                 try:
                     servers.append(self._parse_endpoint(entry))
@@ -67,7 +67,7 @@
             for server in self.balancer.servers.values():
                 self.server_pools.set_ready(server.name, server.state == ServerState.READY)
         self.server_pools.forget_unlisted(self.balancer.servers)
-        self.request_handler.run_due()
+        self.request_handler.due.run()
         return UpdateResult(all_valid, has_new_invalid_entry, self._state_changes(states_before))
 
     def _state_changes(self, states_before: dict[str, ServerState]) -> list[str]:
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -61,24 +61,8 @@
         self.client_server = self._create_client_server()
         self.endpoints = EndpointList(self.settings, self.server_pools, handler, self.now)
         self.list_freshness = ListFreshness(self.settings.drain_grace)
-        self.endpoint_watch = EndpointWatch(
-            reactor,
-            self.deadlines,
-            self.now,
-            self.settings.poll_backoff,
-            configuration.discovery,
-            self.endpoints.update,
-            self.list_freshness,
-            self.endpoints.batch,
-        )
-        self.endpoint_gate = EndpointGate(
-            reactor,
-            self.endpoint_watch,
-            self.list_freshness,
-            self.deadlines,
-            self.now,
-            handler.held.release,
-        )
+        self.endpoint_watch = self._create_endpoint_watch()
+        self.endpoint_gate = self._create_endpoint_gate()
         self.gossip = GossipSocket(configuration.peers, handler.receive_gossip)
         handler.connect(self.server_pools, self.gossip, self.endpoint_gate)
         self.hot_restart = HotRestart(
@@ -114,6 +98,28 @@
             lambda: self.endpoint_gate.allows_attempts(),
         )
 
+    def _create_endpoint_watch(self) -> EndpointWatch:
+        return EndpointWatch(
+            self.reactor,
+            self.deadlines,
+            self.now,
+            self.settings.poll_backoff,
+            self.configuration.discovery,
+            self.endpoints.update,
+            self.list_freshness,
+            self.endpoints.batch,
+        )
+
+    def _create_endpoint_gate(self) -> EndpointGate:
+        return EndpointGate(
+            self.reactor,
+            self.endpoint_watch,
+            self.list_freshness,
+            self.deadlines,
+            self.now,
+            self.request_handler.held.release,
+        )
+
     def _create_client_server(self) -> ClientServer:
         handler, configuration = self.request_handler, self.configuration
         return ClientServer(
@@ -223,7 +229,7 @@
         self.endpoint_gate.close("start")  # in the turn in which the port opens: nothing is read before
         logger.info("proxy started name={} nodes={}", self.configuration.name, len(self.balancer.servers))
         self.started = True
-        self.request_handler.run_due()
+        self.request_handler.due.run()
 
     def open_gossip_socket(self, host: str, port: int) -> None:
         """Bind the address for gossip.
@@ -304,7 +310,7 @@
         self.gossip.set_peers(configuration.peers)
         self.list_freshness.set_drain_grace(self.settings.drain_grace)
         self.endpoint_watch.change_address(configuration.discovery)
-        self.request_handler.run_due()
+        self.request_handler.due.run()
 
     # Shutdown.
 
--- a/ivystack/net/request_handler.py
+++ b/ivystack/net/request_handler.py
@@ -6,10 +6,7 @@
 
 from __future__ import annotations
 
-from collections import deque
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
-from dataclasses import dataclass
+from collections.abc import Callable
 from typing import cast
 
 import orjson
@@ -30,7 +27,6 @@
     SendGossip,
     Server,
     Wait,
-    Wakeup,
     usable_figures,
 )
 from ..configuration.instance import InstanceConfiguration
@@ -38,7 +34,8 @@
 from .abandoned_ids import AbandonedIds
 from .active_request import ActiveRequest
 from .client_server import ClientRequest
-from .deadlines import Deadline, DeadlineQueue
+from .deadlines import DeadlineQueue
+from .due_decisions import DueAction, DueDecisions, EndedAttempt
 from .endpoint_gate import EndpointGate
 from .gossip_socket import GossipSocket
 from .held_requests import HeldRequests
@@ -53,20 +50,9 @@
 
 ANSWER_GRACE_US = 2_000  # from a request's deadline until it fails; the balancer can act before that
 CLIENT_CHECK_AGE_US = 20_000  # age of a request from which its client is checked before each attempt
-BALANCER_RETRY_DELAY_US = 50_000  # after `next_wakeup` has raised an exception
 MICROSECONDS_PER_MILLISECOND = 1_000
 
 
-@dataclass(frozen=True, slots=True)
-class EndedAttempt:
-    """An attempt that has ended, whose outcome the balancer has not been notified of."""
-
-    attempt: Attempt
-    outcome: Outcome
-    load: dict[str, float]  # the usable figures of the server's load report
-    cache_hit: bool
-
-
 class RequestHandler:
     """Admits requests, carries out the balancer's decisions on them, and answers the clients.
 
@@ -89,17 +75,15 @@
         self.answer_by: int | None = None
         self.long_writes = LongWrites(self)
         self.abandoned_ids = AbandonedIds()
+        self.due = DueDecisions(self.balancer, deadlines, now, self.record_outcome, self._run_action)
         self.held = HeldRequests(
             deadlines,
             now,
             self.decide,
             self.give_up,
             lambda request: self.balancer.retry_policy.answer_deadline(request),
-            self.run_due,
+            self.due.run,
         )
-        self._ended: deque[EndedAttempt] = deque()
-        self._is_running = False  # `run_due` is running or deferred
-        self._wakeup: Deadline | None = None
 
     def connect(self, server_pools: ServerPools, gossip: GossipSocket, gate: EndpointGate) -> None:
         """Set the server pools that send attempts, the socket that sends gossip, and when attempts may go."""
@@ -149,7 +133,7 @@
         request = active.request
         try:
             self.decide(request, request.arrived_at if active.upload is None else self.now())
-            self.run_due()
+            self.due.run()
         except Exception:  # must not affect the client's connection and its other requests
             logger.exception("request could not be started; answering it as failed")
             self.answer(request, Failed())
@@ -157,7 +141,7 @@
     def abandon(self, slots: list[int]) -> None:
         """Drop the requests in these slots, whose client has disconnected.
 
-        All of them are closed first, because cancelling the attempts of one request calls `run_due`, which
+        All of them are closed first, because cancelling the attempts of one request runs what is due, which
         must not forward any of the others.
         """
         abandoned = [self.requests[slot] for slot in slots]
@@ -170,7 +154,7 @@
                 logger.exception("balancer.client_disconnected raised an exception; cancelling the attempts")
                 attempts = request.outstanding()
             self.cancel(attempts)
-        self.run_due()
+        self.due.run()
         for active in abandoned:
             self._remember_abandoned(active)
 
@@ -276,8 +260,8 @@
         """Carry out a decision for a request."""
         match decision:
             case Send() if not self.client_is_waiting(request):
-                self._ended.append(EndedAttempt(request.attempts[-1], Outcome.NOT_SENT, {}, False))
-                self.run_due()
+                self.due.add_outcome(EndedAttempt(request.attempts[-1], Outcome.NOT_SENT, {}, False))
+                self.due.run()
             case Send(server, timeout_at):
                 self.send(request, server, timeout_at)
             case Wait():
@@ -321,8 +305,8 @@
         if outcome == Outcome.SUCCEEDED:
             self.answer(in_flight.attempt.request, Value(cast("bytes | ResponseStream", value)))
         load = self._usable_load(in_flight.load_report)
-        self._ended.append(EndedAttempt(in_flight.attempt, outcome, load, in_flight.cache_hit))
-        self.run_due()
+        self.due.add_outcome(EndedAttempt(in_flight.attempt, outcome, load, in_flight.cache_hit))
+        self.due.run()
 
     def record_outcome(self, ended: EndedAttempt) -> None:
         """Notify the balancer of an attempt's outcome, and carry out the decision that follows."""
@@ -345,7 +329,7 @@
             self.balancer.receive_gossip(datagram, self.now())
         except Exception:
             logger.exception("balancer.receive_gossip raised an exception; gossip datagram dropped")
-        self.run_due()
+        self.due.run()
 
     def _usable_load(self, report: bytes | None) -> dict[str, float]:
         """Return the usable figures of a server's load report; return none if it can't be parsed."""
@@ -356,45 +340,7 @@
         except (ValueError, AttributeError):  # not JSON, or not an object
             return {}
 
-    # Outcomes and wakeups that are due.
-
-    @contextmanager
-    def defer_run_due(self) -> Iterator[None]:
-        """Make `run_due` do nothing within the context; its next call after that records the outcomes."""
-        was_running, self._is_running = self._is_running, True
-        try:
-            yield
-        finally:
-            self._is_running = was_running
-
-    def run_due(self) -> None:
-        """Notify the balancer of outcomes and run its due actions, until there are no more of either."""
-        if self._is_running:
-            return
-        self._is_running = True
-        try:
-            while True:
-                while self._ended:
-                    self.record_outcome(self._ended.popleft())
-                now = self.now()
-                wakeup = self._next_wakeup(now)
-                if not wakeup.due:
-                    break
-                for action in wakeup.due:
-                    self._run(action, now)
-        finally:
-            self._is_running = False
-        if wakeup.delay is not None:
-            self._schedule_wakeup(now + max(wakeup.delay, 1))
-
-    def _next_wakeup(self, now: int) -> Wakeup:
-        try:
-            return self.balancer.next_wakeup(now)
-        except Exception:
-            logger.exception("balancer.next_wakeup raised an exception; calling it again after a delay")
-            return Wakeup(BALANCER_RETRY_DELAY_US, [])
-
-    def _run(self, action: Request | SendGossip | CloseIdleConnections, now: int) -> None:
+    def _run_action(self, action: DueAction, now: int) -> None:
         match action:
             case SendGossip(peer, datagram):
                 self.gossip.send(peer, datagram)
@@ -402,20 +348,3 @@
                 self.server_pools.release(server.name)
             case request:
                 self.decide(request, now)
-
-    def run_due_soon(self) -> None:
-        """Run what is due in the next turn of the reactor."""
-        self._schedule_wakeup(self.now())
-
-    def _schedule_wakeup(self, due_at: int) -> None:
-        """Schedule `run_due` for a time in microseconds, unless an earlier call is scheduled already."""
-        wakeup = self._wakeup
-        if wakeup is not None and wakeup.is_pending and due_at >= wakeup.due_at:
-            return
-        if wakeup is not None:
-            wakeup.cancel()
-        self._wakeup = self.deadlines.call_at(due_at, self._wakeup_due)
-
-    def _wakeup_due(self) -> None:
-        self._wakeup = None
-        self.run_due()
--- a/tests/test_close.py
+++ b/tests/test_close.py
@@ -316,14 +316,14 @@
 def test_a_request_abandoned_during_its_admission_is_not_forwarded():
     proxy = make_proxy(0)  # without a server, the request waits
     client = connect_client(proxy)
-    original = proxy.request_handler.run_due
+    original = proxy.request_handler.due.run
 
     # As if the end of another request broke off a response that is streamed to this client.
     def abandon() -> None:
-        proxy.request_handler.run_due = original
+        proxy.request_handler.due.run = original
         proxy.client_server.abandon_pending(client)
 
-    proxy.request_handler.run_due = abandon
+    proxy.request_handler.due.run = abandon
     client.dataReceived(encode_get(b"1"))
     assert (
         not proxy.request_handler.requests
