Discovery is called before the libraries are imported

On a machine that is busy the import takes seconds, and the first requests would wait for a call that is made only after it. The call is written to a socket of the standard library once the configuration is read, and its connection taken over by the HTTP client; it counts only if it asked for the changes since the generation that the process has, and is made again if it ended.

--- a/ivystack/__main__.py
+++ b/ivystack/__main__.py
@@ -22,7 +22,8 @@
 from loguru import logger
 
 from .configuration.errors import ConfigurationError
-from .configuration.process import load
+from .configuration.process import ProcessConfiguration, load
+from .early_call import EarlyCall, call_discovery
 
 if TYPE_CHECKING:
     from .fleet.services import FleetServices
@@ -53,6 +54,7 @@
     except ConfigurationError as error:
         print(error, file=sys.stderr)
         return EXIT_FAULT
+    early_call = make_early_call(configuration)
     from twisted.internet import reactor as default_reactor
 
     reactor: Any = default_reactor
@@ -66,6 +68,7 @@
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", diagnose=False)
     startLoggingWithObserver(log_twisted_event, setStdout=False)
     proxy = Proxy(configuration, reactor, resident_bytes=process_memory.resident_bytes)
+    proxy.use_early_call(early_call)
     fleet_services = None
     if fleet is not None:
         from .fleet.services import FleetServices
@@ -82,6 +85,17 @@
     return 0 if proxy.started else EXIT_NOT_STARTED
 
 
+def make_early_call(configuration: ProcessConfiguration) -> EarlyCall | None:
+    """Call discovery before the libraries are imported, as the import takes long on a machine that is busy.
+
+    In a hot restart the list is imported from the old process, whose generation is not known yet.
+    """
+    if configuration.inherited_descriptor is not None:
+        return None
+    generation = (configuration.known_endpoints or {}).get("generation", 0)
+    return call_discovery(configuration.discovery, generation) if isinstance(generation, int) else None
+
+
 def start(proxy: Proxy, reactor: Any, fleet_services: FleetServices | None = None) -> None:
     """Start the proxy and the fleet services; stop the reactor if that fails."""
     gc.collect()  # before the port opens: nobody waits for it
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -9,6 +9,7 @@
 from twisted.internet.error import CannotListenError
 
 from ..configuration.process import ProcessConfiguration
+from ..early_call import EarlyCall
 from ..model import ServerState
 from .admin import AdminResponse, AdminServer
 from .client_drain import ClientDrain
@@ -178,6 +179,10 @@
 
     # Start.
 
+    def use_early_call(self, early_call: EarlyCall | None) -> None:
+        """Take the first answer of discovery from a call that was made before the proxy was created."""
+        self.endpoint_watch.agent.early_call = early_call
+
     def start(self) -> None:
         """Start serving; in a hot restart, first wait for the old process's state, up to a timeout."""
         self._log_warnings(self.configuration)
