--- a/ivystack/rig/command.py
+++ b/ivystack/rig/command.py
@@ -97,11 +97,18 @@
 @click.option(
     "--runs", type=click.IntRange(1, 1000), default=1, show_default=True, help="Number of consecutive seeds."
 )
+@click.option(
+    "--late",
+    "late_ms",
+    type=click.FloatRange(0, 10_000),
+    default=0.0,
+    help="Discovery answers calls up to so many milliseconds late.",
+)
 @click.option("--show", is_flag=True, help="Print the drawn scenario as a file instead of playing it.")
 @run_options
-def play_soak(seed, seconds, runs, show, **options) -> None:
+def play_soak(seed, seconds, runs, late_ms, show, **options) -> None:
     """Play scenarios in which endpoint lists are out of date."""
-    show_or_play([soak.soak_scenario(seed + n, seconds) for n in range(runs)], show, **options)
+    show_or_play([soak.soak_scenario(seed + n, seconds, late_ms) for n in range(runs)], show, **options)
 
 
 @rig.command("swarm")
--- a/ivystack/rig/faults.py
+++ b/ivystack/rig/faults.py
@@ -34,6 +34,7 @@
 
 
 MIN_AGE_FOR_RELOAD_S = 2.0
+MS_PER_S = 1000
 
 
 class SilentClient(Protocol):
@@ -353,10 +354,16 @@
             self.rig.discovery.change(SERVING, server)
 
     def apply_to_discovery(self, fault: Fault, undo: list) -> None:
-        if fault.kind == "watch-silent":
-            self.rig.discovery.silence_watches()
+        if fault.kind in ("watch-silent", "watch-reset"):
+            discovery = self.rig.discovery
+            discovery.silence_watches() if fault.kind == "watch-silent" else discovery.reset_watches()
             self.record_fault("discovery", fault.kind, undo)
             return
+        if fault.kind == "list-late":
+            self.rig.discovery.answer_delay = lambda: self.rig.rng.uniform(0.0, fault.ms / MS_PER_S)
+            undo.append((setattr, self.rig.discovery, "answer_delay", lambda: 0.0))
+            self.record_fault("discovery", f"{fault.kind} {fault.ms:g} ms", undo)
+            return
         attribute = "silent" if fault.kind == "list-silent" else "refuses"
         setattr(self.rig.discovery, attribute, True)
 
--- a/ivystack/rig/play.py
+++ b/ivystack/rig/play.py
@@ -24,6 +24,7 @@
 from ..standin.ledger import SERVING
 from ..standin.node import Node
 from ..standin.origin import Origin
+from .check import DRAIN_GRACE_US
 from .agree import ConsensusWorkload
 from .faults import Faults
 from .logs import parse_duty_logs
@@ -58,12 +59,12 @@
         "most_write_outs": 3, "may_duplicate": True, "retry_after": True, "max_retry_after": 400_000 * ns,
         "peers": scenario.fleet.peers,
     }  # fmt: skip
-    cold_rules = {
+    rules = {
         "cold": int(scenario.fleet.warm * US) * ns, "cold_share": COLD_SHARE,
-        "overload_factor": OVERLOAD_FACTOR,
+        "overload_factor": OVERLOAD_FACTOR, "stop_sending_within": DRAIN_GRACE_US * ns,
     }  # fmt: skip
     return {
-        "methods": methods, "limits": limits, "rules": cold_rules, "n_instances": scenario.fleet.proxies,
+        "methods": methods, "limits": limits, "rules": rules, "n_instances": scenario.fleet.proxies,
         "slot_no": number,
     }  # fmt: skip
 
--- a/ivystack/rig/scenario.py
+++ b/ivystack/rig/scenario.py
@@ -29,7 +29,8 @@
 PROCESS_FAULTS = ("kill", "restart", "stop", "pause", "slow", "clock", "syscall", "beside", "reload")
 SERVER_FAULTS = ("node-die", "node-hang", "node-slow", "node-fail", "node-drain", "node-spoil", "origin-slow")
 LINK_FAULTS = ("cut", "hole", "freeze", "delay", "loss", "twice", "rate", "reset", "half-open")
-DISCOVERY_FAULTS = ("list-silent", "list-refuses", "watch-silent")
+# list-late: discovery answers each call up to `ms` milliseconds late.  watch-reset: open watches are reset.
+DISCOVERY_FAULTS = ("list-silent", "list-refuses", "list-late", "watch-silent", "watch-reset")
 # leave: the fraction `part` of the clients that wait at the named proxies disconnects.  crowd: connections
 # that send nothing take the fraction `part` of the proxies' descriptors.
 CLIENT_FAULTS = ("leave", "crowd")
@@ -106,7 +107,7 @@
     part: Fraction = 0.5  # node-fail, loss, twice, leave, syscall
     # node-spoil: the kind of invalid answer; late: a second copy some milliseconds after the answer
     how: Literal["twice", "late", "noise", "break"] = "break"
-    ms: Seconds = 50.0  # delay
+    ms: Seconds = 50.0  # delay, list-late
     jitter_ms: Seconds = 0.0
     bytes: Annotated[int, Meta(ge=0)] = 1000  # rate: bytes per second; reset: bytes passed before the reset
     times: Annotated[int, Meta(ge=1, le=1000)] = 1  # repetitions, `every` seconds apart
--- a/ivystack/rig/soak.py
+++ b/ivystack/rig/soak.py
@@ -16,14 +16,19 @@
 KILL_AFTER_S = 1.6  # after SIGTERM: the longest deadline, 0.9 s, and 0.7 s
 
 
-def soak_scenario(seed: int, seconds: float = 20.0) -> Scenario:
-    """Return a scenario with drains all the time and faults that leave proxies with an old endpoint list."""
+def soak_scenario(seed: int, seconds: float = 20.0, late_ms: float = 0.0) -> Scenario:
+    """Return a scenario with drains all the time and faults that leave proxies with an old endpoint list.
+
+    :param late_ms: discovery answers calls up to so many milliseconds late, all the time
+    """
     rng = Random(seed)
-    faults = [*_drains(rng, seconds), *_proxy_faults(rng, seconds), *_discovery_faults(rng, seconds)]
+    faults = [*_drains(rng, seconds), *_proxy_faults(rng, seconds), *_discovery_faults(rng, seconds, late_ms)]
     has_crowd = rng.random() < 0.25
     if has_crowd:
         at = round(rng.uniform(0.5, seconds / 2), 2)
         faults.append(Fault(at=at, kind="crowd", span=round(seconds / 3, 2), who=["p*"], part=0.6))
+    if late_ms:
+        faults.append(Fault(at=0.0, kind="list-late", ms=late_ms))
     faults.sort(key=lambda fault: fault.at)
     return Scenario(
         version=1, name=f"soak-{seed}", about="endpoint lists out of date", seconds=seconds, seed=seed,
@@ -75,15 +80,18 @@
     return faults
 
 
-def _discovery_faults(rng: Random, seconds: float) -> list[Fault]:
+def _discovery_faults(rng: Random, seconds: float, late_ms: float) -> list[Fault]:
     """Return faults of discovery and of the links to it, some of them at once with those of the proxies."""
+    kinds = ["watch-silent", "watch-silent", "list-silent", "list-refuses", "cut"]
+    if late_ms:  # a reset shows only where the next call is not answered at once
+        kinds += ["watch-reset", "watch-reset", "watch-reset"]
     faults, at = [], rng.uniform(1.0, 4.0)
     while at < seconds - SETTLED_S:
-        kind = rng.choice(["watch-silent", "watch-silent", "list-silent", "list-refuses", "cut"])
+        kind = rng.choice(kinds)
         fault = Fault(at=round(at, 2), kind=kind)
         if kind == "cut":
             fault.between, fault.span = ["p*", "discovery"], 0.1
-        elif kind != "watch-silent":
+        elif kind not in ("watch-silent", "watch-reset"):
             fault.span = round(rng.uniform(1.0, 5.0), 2)
         else:
             fault.span = 0.0
