--- a/ivystack/net/endpoint_gate.py
+++ b/ivystack/net/endpoint_gate.py
@@ -1,7 +1,7 @@
-"""Holds attempts back while the endpoint list may be older than what discovery has told.
+"""Holds attempts back while the endpoint list may be older than the discovery agent's.
 
-What the discovery agent has counts as told, even if this process has not read it: it may have just started,
-or have stood still.  Before attempts are sent, all that the watch has received is read, and if discovery had
+The process counts as notified of what the agent has, even if it has not read it: it may have just started, or
+have stood still.  Before attempts are sent, all that the watch has received is read, and if discovery had
 to be heard meanwhile and was not, it is called.  Attempts wait for the answer for as long as the agent of a
 busy machine may take.  Where discovery refuses calls or does not answer, the list as it is has to do.
 """
--- a/ivystack/net/endpoint_watch.py
+++ b/ivystack/net/endpoint_watch.py
@@ -77,7 +77,7 @@
 
         :param backoff: determines the pause before the next request after a failure.
         :param on_update: called with an update's entries, and whether they are the complete list.
-        :param freshness: told of all that says how new the list is.
+        :param freshness: notified of all that says how new the list is.
         :param update_batch: the context in which the updates are applied that are received at once.
         """
         self.agent = DiscoveryAgent(reactor, now)
@@ -223,7 +223,7 @@
             self.freshness.watch_lost(self.drained_at)
         elif is_answer_missing:
             self._call_failed(code, end, next_request_at)
-        elif end is not CallEnd.SILENT:  # what a silent watch misses counts as told later
+        elif end is not CallEnd.SILENT:  # a silent watch has a later time limit
             self.freshness.watch_lost(self.drained_at)
 
     def _schedule_request(self, at_once: bool) -> int:
@@ -327,7 +327,7 @@
             return
         # The operators' signal may have come at any time since this process last ran.
         self.freshness.address_changed(self.drained_at)
-        self.read_now()  # what the former address has told
+        self.read_now()  # what the former address has written
         self.address = address
         self.backoff.failures = 0
         self.update_by = self.now() + self.MOVE_UPDATE_WITHIN
--- a/ivystack/net/list_freshness.py
+++ b/ivystack/net/list_freshness.py
@@ -1,8 +1,8 @@
 """Until when attempts may go by the endpoint list, if nothing more is heard of discovery.
 
-What the discovery agent has counts as told, whether or not this process has heard it, and a server that
-drains may be sent new attempts only for a grace after that was told.  So each event says since when there may
-be a change that was not heard, and attempts by the list end before the grace after that is over.
+This process counts as notified of what the discovery agent has, whether or not it has heard it, and a server
+that drains may be sent new attempts only for a grace after the notification.  So each event says since when
+there may be a change that was not heard, and attempts by the list end before the grace after that is over.
 
 All times are microseconds.
 """
@@ -11,8 +11,8 @@
 
 from math import inf
 
-TOLD_AFTER_SILENCE_US = 6_000_000  # from when a watch fell silent until what it misses counts as told
-TOLD_AFTER_MOVE_US = 4_000_000  # from SIGHUP until what the new address has to tell counts as told
+NOTIFIED_AFTER_SILENCE_US = 6_000_000  # from when a watch fell silent, of what it misses
+NOTIFIED_AFTER_MOVE_US = 4_000_000  # from SIGHUP, of what the new address has
 # Part of the grace that is left to a process that is held up between its decision and the write.
 STALL_ALLOWANCE_US = 160_000
 MAX_LAG_US = 150_000  # by which a scheduled call may be late
@@ -21,8 +21,7 @@
 class ListFreshness:
     """Tells whether the endpoint list is as new as it has to be.
 
-    :param drain_grace: for which a server that counts as told to drain may be sent new attempts; 0 if the
-        settings do not tell
+    :param drain_grace: for which a draining server may be sent new attempts; 0 if the settings do not say
     """
 
     def __init__(self, drain_grace: int) -> None:
@@ -41,7 +40,7 @@
 
     def line_arrived(self, at: int) -> None:
         """Discovery wrote a line no earlier than `at`, on a watch that may have fallen silent since."""
-        self.fresh_until = at + TOLD_AFTER_SILENCE_US + self._usable_grace
+        self.fresh_until = at + NOTIFIED_AFTER_SILENCE_US + self._usable_grace
 
     def watch_lost(self, at: int) -> None:
         """The watch was last known to be open at `at`; changes since then were not heard."""
@@ -49,7 +48,7 @@
 
     def address_changed(self, at: int) -> None:
         """Another address of discovery was configured at `at`."""
-        self.fresh_until = min(self.fresh_until, at + TOLD_AFTER_MOVE_US + self._usable_grace)
+        self.fresh_until = min(self.fresh_until, at + NOTIFIED_AFTER_MOVE_US + self._usable_grace)
 
     def call_refused(self, at: int, next_call_at: int) -> None:
         """Discovery refused a call at `at`, so that the list has to do until the next one."""
--- a/ivystack/rig/check.py
+++ b/ivystack/rig/check.py
@@ -211,14 +211,14 @@
 def check_draining_servers(ledger: Ledger, exemptions: list[Exemption], limits: RuleLimits) -> list[Breach]:
     """Rule 3: a server that drains or is gone gets no new requests after the grace."""
     breaches, states = [], defaultdict(list)
-    for told in ledger.state_updates:
-        states[told.proxy, told.node].append(told)
+    for update in ledger.state_updates:
+        states[update.proxy, update.node].append(update)
     for taken in ledger.commands:
         last = None
-        for told in states[taken.proxy, taken.node]:
-            if told.at <= taken.at:
-                last = told if told.state != SERVING and (last is None or last.state == SERVING) else last
-                last = None if told.state == SERVING else last
+        for update in states[taken.proxy, taken.node]:
+            if update.at <= taken.at:
+                last = update if update.state != SERVING and (last is None or last.state == SERVING) else last
+                last = None if update.state == SERVING else last
         if last is None or taken.at <= last.at + limits.drain_grace + limits.tolerance:
             continue
         delayed = any(
--- a/ivystack/rig/faults.py
+++ b/ivystack/rig/faults.py
@@ -5,23 +5,23 @@
 
 from __future__ import annotations
 
-import json
 import signal
 
 from msgspec.structs import replace
 from twisted.internet.protocol import ClientFactory, Protocol
 
-from ..standin.ledger import DRAINING, DELETED, SERVING, StateUpdate
+from ..standin.ledger import DRAINING, DELETED, SERVING
 from ..standin.node import Node
 from .check import Exemption
-from .processes import Process
+from .discovery_faults import DiscoveryFaults
+from .link_faults import LinkFaults
+from .process_faults import ProcessFaults
 from .record import US, FaultRecord
 from .scenario import (  # fmt: skip
     CLIENT_FAULTS,
     DISCOVERY_FAULTS,
     LEADER,
     LINK_FAULTS,
-    MAX_PAUSE_S,
     MEMBERSHIP_FAULTS,
     ORDER_HOLDER,
     PEER_FAULTS,
@@ -33,10 +33,6 @@
 )
 
 
-MIN_AGE_FOR_RELOAD_S = 2.0
-MS_PER_S = 1000
-
-
 class SilentClient(Protocol):
     """A client that sends nothing."""
 
@@ -62,6 +58,9 @@
 
     def __init__(self, rig):
         self.rig = rig
+        self.process_faults = ProcessFaults(rig, self.record_fault)
+        self.link_faults = LinkFaults(rig, self.record_fault)
+        self.discovery_faults = DiscoveryFaults(rig, self.record_fault)
         self.active: dict[int, list] = {}  # fault number: the calls (function, *arguments) that revert it
 
     def schedule(self, number: int, fault: Fault, repetitions: int | None = None) -> None:
@@ -111,11 +110,11 @@
         undo = self.active[number] = []
         if fault.kind in PROCESS_FAULTS:
             for name in match_names(fault.who, [*self.rig.processes], "who"):
-                self.apply_to_process(self.rig.processes[name], fault, undo)
+                self.process_faults.apply(self.rig.processes[name], fault, undo)
         elif fault.kind in LINK_FAULTS:
-            self.apply_to_links(fault, undo)
+            self.link_faults.apply(fault, undo)
         elif fault.kind in DISCOVERY_FAULTS:
-            self.apply_to_discovery(fault, undo)
+            self.discovery_faults.apply(fault, undo)
         elif fault.kind == "crowd":
             self.open_crowd(fault, undo)
         elif fault.kind in CLIENT_FAULTS:
@@ -192,123 +191,6 @@
 
         undo.append((end,))
 
-    def apply_to_process(self, process: Process, fault: Fault, undo: list) -> None:
-        name, kind = process.name, fault.kind
-        if fault.kind == "kill":
-            process.save_directory_copy()
-            process.kill()
-            self.record_fault(name, kind, undo, {"proxy": name}, 1.0)
-            if fault.span is not None:
-                undo.append((self.start_again, process, fault))
-        elif fault.kind == "restart":
-            process.save_directory_copy()
-            self.record_fault(name, kind, undo)
-            process.terminate()
-            if fault.kill_after:
-                self.rig.reactor.callLater(fault.kill_after, self.kill_if_running, process, process.child)
-            self.rig.reactor.callLater(0.1, self.restart, process, fault)
-        elif fault.kind == "reload":
-            self.reload(process, undo)
-        elif fault.kind == "stop":
-            process.suspend()
-            self.record_fault(name, kind, undo, {"proxy": name}, 1.0)
-            undo.append((process.resume,))
-        elif fault.kind == "pause":  # no exemption: a proxy must follow all rules during a short pause
-            process.suspend()
-            self.record_fault(name, kind, undo)
-            undo.append((self.end_pause, process, self.rig.now()))
-        elif fault.kind == "syscall":  # no exemption: the failure itself loses nothing
-            process.fail_call(fault.call, fault.error, fault.part)
-            self.record_fault(name, f"{kind} {fault.call} {fault.error}", undo)
-            undo.append((process.fail_call, fault.call, fault.error, 0.0))
-        elif fault.kind == "beside":
-            self.start_replacement(process, undo)
-        elif fault.kind == "slow":
-            process.throttle(fault.duty)
-            self.record_fault(name, f"slow {fault.duty:g}", undo, {"proxy": name}, 1.0)
-            undo.append((process.resume,))
-        else:
-            process.set_clock_offset(fault.hours)
-            self.record_fault(name, f"clock {fault.hours:+g} h", undo)
-            undo.append((process.set_clock_offset, 0.0))
-
-    def end_pause(self, process: Process, began_at: int) -> None:
-        """Resume the process; if the pause was too long because the rig lagged, exempt the proxy."""
-        process.resume()
-        now = self.rig.now()
-        if now - began_at > MAX_PAUSE_S * US:
-            self.rig.record.exemptions.append(Exemption(began_at, now + US, process.name))
-
-    def start_replacement(self, process: Process, undo: list) -> None:
-        """Start a second process with the proxy's name and directory, as in an upgrade.
-
-        Clients do not connect to the second process.  Reverting the fault ends the first process, and the
-        second runs on alone with the directory.
-        """
-        name = process.name
-        replacement = Process(
-            f"{name}-new", self.rig.folder / f"{name}-new", self.rig.reactor, self.rig.now,
-            environment=self.rig.environment(name) | {"LB_NAME": name},
-        )  # fmt: skip
-        replacement.program = process.program
-        host = self.rig.hub.hosts[name]
-        listen, admin = (f"{host}:{self.rig.ports.reserve(host)}" for _ in range(2))
-        config = self.rig.config(name) | {"listen": listen, "admin_addr": admin, "peer_listen": None}
-        self.rig.ports.release()
-        replacement.start(config)
-        self.rig.replacements.append(replacement)
-        self.rig.record.processes.append(replacement)
-        self.record_fault(name, "beside", undo)
-
-        def end() -> None:
-            process.terminate()
-            self.record_fault(name, "ended after the start of its replacement", [], {"proxy": name}, 1.0)
-
-        undo.append((end,))
-
-    def kill_if_running(self, process: Process, child: object) -> None:
-        """Kill the process if it is still the one that was told to end."""
-        if process.child is child and process.is_running():
-            process.kill()
-
-    def reload(self, process: Process, undo: list) -> None:
-        """Move discovery to another address by SIGHUP, which a process in its first seconds does not get."""
-        starts = [at for at, event in process.events if event.startswith(("start", "continue"))]
-        if (
-            not process.should_run
-            or process.stopped
-            or self.rig.now() - max(starts) < MIN_AGE_FOR_RELOAD_S * US
-        ):
-            return
-        rig, name = self.rig, process.name
-        rig.discovery_relays[name] = rig.hub.relay_tcp(name, "discovery", rig.discovery.address)
-        (process.folder / "config.json").write_text(json.dumps(rig.config(name)))
-        self.record_fault(name, "reload", undo)
-        process.signal(signal.SIGHUP)
-
-    def restart(self, process: Process, fault: Fault) -> None:
-        if self.rig.finished:
-            return
-        if process.is_running():
-            self.rig.reactor.callLater(0.05, self.restart, process, fault)
-        else:
-            self.start_again(process, fault)
-
-    def start_again(self, process: Process, fault: Fault) -> None:
-        """Start the process with the present endpoint list, which is old if the process comes up late."""
-        if self.rig.finished or process.is_running():
-            return
-        name = process.name
-        known = self.rig.discovery.listing(name, 0)
-        self.rig.ledger.state_updates += [
-            StateUpdate(self.rig.now(), name, entry["instanceId"], entry["lifecycle"])
-            for entry in known["instances"]
-        ]
-        process.start(self.rig.config(name) | {"known": known}, fault.directory)
-        if fault.hold:
-            process.suspend()
-            self.rig.reactor.callLater(fault.hold, process.resume)
-
     def apply_to_server(self, server: Node, fault: Fault, undo: list) -> None:
         kind = fault.kind
         if fault.kind == "node-die":
@@ -352,66 +234,3 @@
             server.started = self.rig.now()
             server.cached_keys.clear()
             self.rig.discovery.change(SERVING, server)
-
-    def apply_to_discovery(self, fault: Fault, undo: list) -> None:
-        if fault.kind in ("watch-silent", "watch-reset"):
-            discovery = self.rig.discovery
-            discovery.silence_watches() if fault.kind == "watch-silent" else discovery.reset_watches()
-            self.record_fault("discovery", fault.kind, undo)
-            return
-        if fault.kind == "list-late":
-            self.rig.discovery.answer_delay = lambda: self.rig.rng.uniform(0.0, fault.ms / MS_PER_S)
-            undo.append((setattr, self.rig.discovery, "answer_delay", lambda: 0.0))
-            self.record_fault("discovery", f"{fault.kind} {fault.ms:g} ms", undo)
-            return
-        attribute = "silent" if fault.kind == "list-silent" else "refuses"
-        setattr(self.rig.discovery, attribute, True)
-
-        def end() -> None:
-            setattr(self.rig.discovery, attribute, False)
-            self.rig.discovery.notify_watches()
-
-        undo.append((end,))
-        self.record_fault("discovery", fault.kind, undo)
-
-    def apply_to_links(self, fault: Fault, undo: list) -> None:
-        known = [*self.rig.processes, *self.rig.servers, "discovery", "clients"]
-        near_ends, far_ends = (match_names([pattern], known, "between") for pattern in fault.between)
-        for near in near_ends:
-            for far in far_ends:
-                if near != far:
-                    self.apply_to_link(near, far, fault, undo)
-
-    def apply_to_link(self, near: str, far: str, fault: Fault, undo: list) -> None:
-        hub, directions = self.rig.hub, []
-        if fault.way in ("both", "there"):
-            directions.append(hub.direction(near, far))
-        if fault.way in ("both", "back"):
-            directions.append(hub.direction(far, near))
-        if fault.kind == "half-open":
-            hub.half_open(near, far)
-            undo.append((hub.reset_half_open, near, far))
-        name = {"freeze": "frozen", "reset": "reset_after"}.get(fault.kind, fault.kind)
-        values = {
-            "cut": True, "hole": True, "frozen": True, "delay": fault.ms / 1000, "loss": fault.part,
-            "twice": fault.part, "rate": fault.bytes, "reset_after": fault.bytes,
-        }  # fmt: skip
-        for direction in directions if name in values else ():
-            changes = {name: values[name]}
-            if fault.kind == "delay":
-                changes["jitter"] = fault.jitter_ms / 1000
-            for key, value in changes.items():
-                direction.begin_fault(key, value)
-                undo.append((direction.end_fault, key, value))
-        ends = {near, far}
-        proxies = [name for name in ends if name in self.rig.processes]
-        other_end = (ends - {*proxies}).pop() if len(proxies) == 1 else None
-        exempt = None
-        if other_end == "clients":
-            exempt = {"proxy": proxies[0]}
-        elif other_end is not None:
-            exempt = {"proxy": proxies[0], "server": other_end}
-        arrows = {"both": "<->", "there": "->", "back": "<-"}
-        self.record_fault(
-            near, f"{fault.kind} {arrows[fault.way]} {far}", undo, exempt, 1.0 + fault.ms / 1000
-        )
--- a/ivystack/rig/scenario.py
+++ b/ivystack/rig/scenario.py
@@ -130,7 +130,8 @@
     served_last: Fraction = 0.0  # the same for requests due in the last `last` seconds
     last: Positive = 2.0
     each_class: Fraction = 0.0  # the same for each class in each third of the load
-    told: bool = False  # nothing to draining servers, counted from when discovery had the drain (told.py)
+    # Nothing to draining servers, counted from when discovery had the drain (stale_sends.py).
+    stale_sends: bool = False
     orders: bool = False  # at the end all proxies use the same slot order and slot-order has one holder
     linked: bool = False  # at the end each proxy is connected to every member of the consensus group
     # Least number of table operations that are called and answered in the last `last` seconds.
--- a/ivystack/rig/soak.py
+++ b/ivystack/rig/soak.py
@@ -34,7 +34,7 @@
         version=1, name=f"soak-{seed}", about="endpoint lists out of date", seconds=seconds, seed=seed,
         fleet=Fleet(proxies=PROXIES, nodes=NODES, sockets=256 if has_crowd else 1024, cores=8),
         load=Load(rate=120.0, shape=rng.choice(["poisson", "surge"]), reuse=rng.choice(["newest", "oldest"])),
-        fault=faults, hold=Hold(told=True),
+        fault=faults, hold=Hold(stale_sends=True),
     )  # fmt: skip
 
 
--- a/ivystack/rig/told.py
+++ b/ivystack/rig/stale_sends.py
@@ -1,7 +1,7 @@
-"""Checks that no proxy sends to a draining server what the discovery agent has told it not to send.
+"""Checks that no proxy sends to a draining server by an endpoint list that is out of date.
 
-What the agent has counts as told, whether or not the proxy has read it, and also while the proxy stands still
-or has not yet started.
+A proxy counts as notified of what the discovery agent has, whether or not it has read that, and also while
+the proxy stands still or has not yet started.
 """
 
 from __future__ import annotations
@@ -10,29 +10,29 @@
 from .check import Breach
 from .record import US, Record
 
-TOLD_AFTER_SILENCE_US = 6_000_000  # what a silent watch misses, after it fell silent
-TOLD_AFTER_RELOAD_US = 4_000_000  # what a new discovery address has to tell, after SIGHUP
-CUT = "cut <-> discovery"  # of the link of one proxy, which can't be told anything meanwhile
+NOTIFIED_AFTER_SILENCE_US = 6_000_000  # what a silent watch misses, after it fell silent
+NOTIFIED_AFTER_RELOAD_US = 4_000_000  # what a new discovery address has, after SIGHUP
+CUT = "cut <-> discovery"  # of the link of one proxy, which can't be notified meanwhile
 OUTAGES = ("list-silent", "list-refuses")  # meanwhile the agent learns nothing
 
 
-def told_at(change: ListChange, proxy: str, record: Record) -> int:
-    """Return when a change counts as told to the process of a proxy that runs after the change.
+def notified_at(change: ListChange, proxy: str, record: Record) -> int:
+    """Return when the process of a proxy that runs after a change counts as notified of it.
 
-    The result is in microseconds.  A silent or refusing agent tells a process nothing that it had not written
-    to the process before.
+    The result is in microseconds.  A silent or refusing agent notifies a process of nothing that it had not
+    written to the process before.
     """
-    told, started = change.at, last_start(proxy, change.at, record)
+    notified, started = change.at, last_start(proxy, change.at, record)
     silent_at = [
-        at for at, caller in record.ledger.silenced_watches if caller == proxy and started < at <= told
+        at for at, caller in record.ledger.silenced_watches if caller == proxy and started < at <= notified
     ]
     if silent_at:
-        told = max(told, max(silent_at) + TOLD_AFTER_SILENCE_US)
+        notified = max(notified, max(silent_at) + NOTIFIED_AFTER_SILENCE_US)
     for fault in record.faults:
         is_reload = fault.description == "reload" and fault.target == proxy
-        if is_reload and fault.start <= told < fault.start + TOLD_AFTER_RELOAD_US:
-            told = fault.start + TOLD_AFTER_RELOAD_US
-    return told
+        if is_reload and fault.start <= notified < fault.start + NOTIFIED_AFTER_RELOAD_US:
+            notified = fault.start + NOTIFIED_AFTER_RELOAD_US
+    return notified
 
 
 def last_start(proxy: str, before: int, record: Record) -> int:
@@ -47,8 +47,8 @@
     return max(starts, default=0)
 
 
-def after_outages(told: int, change: ListChange, proxy: str, at: int, record: Record) -> int:
-    """Return when a change counts as told in view of the outages of discovery up to an attempt at `at`."""
+def after_outages(notified: int, change: ListChange, proxy: str, at: int, record: Record) -> int:
+    """Return when a proxy counts as notified in view of discovery's outages up to an attempt at `at`."""
     started = last_start(proxy, at, record)
     for fault in record.faults:
         end = record.end if fault.end is None else fault.end
@@ -61,12 +61,12 @@
             for update in record.ledger.state_updates
         )  # fmt: skip
         if not was_written:
-            told = max(told, end)
-    return told
+            notified = max(notified, end)
+    return notified
 
 
-def check_told_servers(record: Record, grace: int, tolerance: int) -> list[Breach]:
-    """Return the attempts that began later than the grace after their server's drain counted as told."""
+def check_stale_sends(record: Record, grace: int, tolerance: int) -> list[Breach]:
+    """Return the attempts that began later than the grace after their proxy counted as notified."""
     breaches = []
     changes: dict[str, list[ListChange]] = {}
     for change in record.ledger.list_changes:
@@ -78,13 +78,13 @@
             drain = None if change.state == SERVING else drain or change
         if drain is None:
             continue
-        earliest = told_at(drain, taken.proxy, record) + grace + tolerance
-        if taken.at <= earliest:
+        notified = notified_at(drain, taken.proxy, record)
+        if taken.at <= notified + grace + tolerance:
             continue
-        told = after_outages(earliest - grace - tolerance, drain, taken.proxy, taken.at, record)
-        latest = told + grace + tolerance
+        notified = after_outages(notified, drain, taken.proxy, taken.at, record)
+        latest = notified + grace + tolerance
         if taken.at > latest:
             text = f"{taken.proxy} sent a request {(taken.at - drain.at) / US:.2f} s after the change"
             text += f", {(taken.at - latest) / US:.2f} s too late"
-            breaches.append(Breach("nothing new to a draining node (told)", taken.at, taken.node, text))
+            breaches.append(Breach("nothing new to a draining node (agent)", taken.at, taken.node, text))
     return breaches
--- a/ivystack/rig/verdict.py
+++ b/ivystack/rig/verdict.py
@@ -20,7 +20,7 @@
     check_table_history,
 )
 from .record import CLASSES, COLD_SHARE, OVERLOAD_FACTOR, US, Record, dedup_window_us
-from .told import check_told_servers
+from .stale_sends import check_stale_sends
 
 TOLERANCE_US = 50_000  # added to each limit, as for proxies in production
 
@@ -48,7 +48,7 @@
         + check_overlapping_leases(record.leases, process_stops(record))
         + check_table_history(record.table_history)
     )
-    breaches += check_told_servers(record, DRAIN_GRACE_US, limits.tolerance) if hold.told else []
+    breaches += check_stale_sends(record, DRAIN_GRACE_US, limits.tolerance) if hold.stale_sends else []
     if not hold.crashes:
         breaches += check_crashes(record)
     breaches += check_service(record)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""The soak: what counts as told to a proxy, and a short run of scenarios that broke the rule on drains."""
+"""The soak: when a proxy counts as notified, and a short run of scenarios that broke the rule on drains."""
 
 import subprocess
 import sys
@@ -9,7 +9,7 @@
 from ivystack.rig.record import FaultRecord, Record
 from ivystack.rig.scenario import parse_scenario
 from ivystack.rig.soak import soak_scenario
-from ivystack.rig.told import check_told_servers
+from ivystack.rig.stale_sends import check_stale_sends
 from ivystack.rig import scenario
 from ivystack.standin.ledger import DRAINING, SERVING, ListChange, ReceivedCommand, StateUpdate
 
@@ -28,7 +28,7 @@
     record.ledger.list_changes = [ListChange(0, "n0", SERVING), ListChange(10 * S, "n0", DRAINING)]
     record.ledger.state_updates = [StateUpdate(at, "p0", "n0", DRAINING) for at in updates]
     record.ledger.commands = [ReceivedCommand(int(sent_at * S), "n0", "p0", b"a", "read", False, False)]
-    return bool(check_told_servers(record, GRACE, TOLERANCE))
+    return bool(check_stale_sends(record, GRACE, TOLERANCE))
 
 
 OUTAGE = (9 * S, 12 * S, "discovery", "list-silent")
@@ -47,7 +47,7 @@
     ({"silenced": [1 * S]}, 11.05),
     ({"silenced": [8 * S], "starts": (0, 9 * S)}, 11.05),  # the watch of a process before
 ])  # fmt: skip
-def test_an_attempt_is_late_from_the_grace_after_its_drain_counts_as_told(tmp_path, fields, latest):
+def test_an_attempt_is_late_from_the_grace_after_its_proxy_counts_as_notified(tmp_path, fields, latest):
     after_start = max(latest, 12.2) if fields.get("starts", (0,))[-1] > 10 * S else latest
     assert not late(tmp_path, latest, **fields)
     assert late(tmp_path, after_start + 0.01, **fields)
