Log: what a closed connection held, and when a server that drains got its last attempt

`client connection closed .. partial_command=1 unhandled_bytes=N waited_for_turn=0|1` tells half a command from commands that waited; `server states changed .. states= ID:STATE:Nms` has the time since the last attempt at a server that was ready, so that the log shows by which generation the last one went. test_trace asks for the further fields.

--- a/ivystack/net/client_server.py
+++ b/ivystack/net/client_server.py
@@ -332,6 +332,7 @@
     def connection_lost(self, client: ClientConnection, code: str) -> None:
         """Log that a connection has closed, and abandon its requests."""
         client.upload = None
+        waited_for_turn = client in self.turn_scheduler
         self.idle_connections.pop(client, None)
         self.unused_connections.pop(client, None)
         self.closing_connections.pop(client, None)
@@ -342,7 +343,8 @@
         unanswered = [pending.request_id for pending in client.pending.unanswered()]
         logger.info(
             "client connection closed client={} commands={} open={} code={}{}", client.slot,
-            client.commands_received, len(unanswered), code, self._close_fields(client, unanswered),
+            client.commands_received, len(unanswered), code,
+            self._close_fields(client, unanswered, waited_for_turn),
         )  # fmt: skip
         if trace.enabled:
             for request_id in unanswered:
@@ -351,17 +353,21 @@
         self.abandon_pending(client)
         client.memory.close()
 
-    def _close_fields(self, client: ClientConnection, unanswered: list[bytes | None]) -> str:
+    def _close_fields(
+        self, client: ClientConnection, unanswered: list[bytes | None], waited_for_turn: bool
+    ) -> str:
         """Return the optional fields of the log line: unanswered ids, unread input and idle time.
 
         :param unanswered: the ids of the requests that have no response
+        :param waited_for_turn: input was received of which a slice was to be handled in a later turn
         """
         fields = ""
         if unanswered:
             ids = [request_id.decode("latin-1") for request_id in unanswered[: self.IDS_LOGGED] if request_id]
             fields += f" ids={','.join(ids)}"
-        if client.closed_mid_message:
-            fields += " partial_command=1"
+        if client.unhandled_bytes is not None:
+            fields += f" partial_command=1 unhandled_bytes={client.unhandled_bytes}"
+            fields += f" waited_for_turn={int(waited_for_turn)}"
         if client.discarded_bytes:
             fields += f" discarded_bytes={client.discarded_bytes}"
         if client.commands_received and not unanswered:
--- a/ivystack/net/endpoint_list.py
+++ b/ivystack/net/endpoint_list.py
@@ -71,13 +71,20 @@
         return UpdateResult(all_valid, has_new_invalid_entry, self._state_changes(states_before))
 
     def _state_changes(self, states_before: dict[str, ServerState]) -> list[str]:
-        """Return each server whose state has changed, with its new state; new servers are left out."""
+        """Return each server whose state has changed, with its new state; new servers are left out.
+
+        For a server that was ready the time since the last attempt at it is added, in milliseconds.
+        """
         changes = []
         for name, state_before in states_before.items():
             server = self.balancer.servers.get(name)
             state = ServerState.GONE if server is None else server.state
-            if state is not state_before:
-                changes.append(f"{name}:{state.value}")
+            if state is state_before:
+                continue
+            change = f"{name}:{state.value}"
+            if server is not None and server.last_sent_at and state_before is ServerState.READY:
+                change += f":{(self.now() - server.last_sent_at) // MICROSECONDS_PER_MILLISECOND}ms"
+            changes.append(change)
         return changes
 
     def entries(self) -> list[dict[str, Any]]:
--- a/ivystack/net/resp.py
+++ b/ivystack/net/resp.py
@@ -119,7 +119,8 @@
         self.open_arrays: list[PartialArray] = []
         self.input_closed = False  # no further input is read
         self.discarded_bytes = 0  # input that arrived after it was closed, for the log
-        self.closed_mid_message = False  # part of a value had arrived when the input was closed, for the log
+        # Bytes that were buffered when the input was closed within a value, for the log; None between values.
+        self.unhandled_bytes: int | None = None
         self._bulk = bytearray()  # the bulk string that is being read, as far as it has arrived
         self._bytes_missing = 0  # of that bulk string, including its line end
         self._value_sink: ValueSink | None = None  # receives the streamed value that is being read
@@ -239,8 +240,8 @@
 
     def close_input(self) -> None:
         """Stop reading, and discard input that was buffered but not read."""
-        if not self.input_closed:
-            self.closed_mid_message = not self.at_message_boundary()
+        if not self.input_closed and not self.at_message_boundary():
+            self.unhandled_bytes = self.buffered_bytes()
         self.input_closed = self.paused = True
         self.clearLineBuffer()
         self.open_arrays.clear()
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -65,4 +65,5 @@
     client.dataReceived(encode_get(b"r5")[20:])
     client.connectionLost(Failure(ConnectionDone()))
     (line,) = [line for line in lines if line.startswith("client connection closed")]
-    assert f"code=idle partial_command=1 discarded_bytes={len(encode_get(b'r5')) - 20}" in line
+    assert "code=idle partial_command=1 unhandled_bytes=10 waited_for_turn=0" in line
+    assert f"discarded_bytes={len(encode_get(b'r5')) - 20}" in line
