A new connection has until the end of a shutdown for its first command

Found beside busy processes (soak, 40 of them): connections were closed 0.1 s after they were accepted, if a shutdown had begun and no command had come; the client had connected and was itself late with its command. Of 400 commands on 40 connections opened 0.2 s after SIGTERM and used at 0.62 s none was answered, now all are.

--- a/ivystack/net/client_drain.py
+++ b/ivystack/net/client_drain.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from itertools import takewhile
 from typing import TYPE_CHECKING
 
 from .deadlines import Deadline
@@ -19,6 +18,7 @@
     """
 
     INTERVAL = 20_000  # between batches
+    CLOSES_PER_TURN, TURN_INTERVAL = 32, 1_000  # parts of a batch
     # Period over which idle connections are closed in a drain requested by an operator.  It ends well before
     # 4 s, by which no client may be connected.
     SPREAD = 1_000_000
@@ -82,15 +82,16 @@
         batches_left = max(1, -(-(self.idle_closed_by - now) // self.INTERVAL))
         idle = [client for client in server.idle_connections if client.at_message_boundary()]
         batch = idle[: -(-len(idle) // batches_left)]
-        silent_since = now - server.MIN_SILENCE
-        batch += takewhile(lambda unused: unused.last_input_at < silent_since, server.unused_connections)
         even_if_partial = self.drops_partial_commands
         if even_if_partial:
             for client in server.connections.values():
                 self._commands_before.setdefault(client, client.commands_received)
             batch = [client for client in server.connections.values() if not client.pending]
-        if batch:  # in the next reactor turn, so that input that has arrived is read first
-            server.deadlines.call_at(now + 1, self.close_batch, batch, even_if_partial)
+        for first in range(0, len(batch), self.CLOSES_PER_TURN):
+            # In later reactor turns, so that input that has arrived is read first.
+            turn_at = now + 1 + first // self.CLOSES_PER_TURN * self.TURN_INTERVAL
+            closed_then = batch[first : first + self.CLOSES_PER_TURN]
+            server.deadlines.call_at(turn_at, self.close_batch, closed_then, even_if_partial)
         self.next_batch = server.deadlines.call_at(now + self.INTERVAL, self._close_next_batch)
 
     def close_batch(self, batch: list[ClientConnection], even_if_partial: bool, code: str = "") -> None:
--- a/tests/test_shutdown_commands.py
+++ b/tests/test_shutdown_commands.py
@@ -63,6 +63,20 @@
     assert play.process.wait(timeout=10) == 0
 
 
+def test_the_first_command_of_a_new_connection_may_come_late_in_a_shutdown(play):
+    # Guards against 0.1 s without a command that are taken for a client that sends nothing.
+    play.start()
+    play.connect(1)
+    play.process.send_signal(signal.SIGTERM)
+    terminated_at = time.monotonic()
+    time.sleep(0.2)
+    play.connect(CONNECTIONS)
+    time.sleep(terminated_at + SENT_AFTER - time.monotonic())
+    for number, client in enumerate(play.clients):
+        client.sendall(b"".join(play.command(number * COMMANDS_EACH + n) for n in range(COMMANDS_EACH)))
+    assert sum(map(read_answers, play.clients)) == CONNECTIONS * COMMANDS_EACH
+
+
 def test_a_part_of_a_command_does_not_hold_up_a_shutdown(play):
     play.start()
     play.connect(CONNECTIONS)
