--- a/ivystack/rig/command.py
+++ b/ivystack/rig/command.py
@@ -104,11 +104,19 @@
     default=0.0,
     help="Discovery answers calls up to so many milliseconds late.",
 )
+@click.option(
+    "--rate",
+    type=click.FloatRange(1, 1000),
+    default=soak.REQUESTS_PER_SECOND,
+    show_default=True,
+    help="Requests per second; fewer beside other work, so that the rig itself is not late.",
+)
 @click.option("--show", is_flag=True, help="Print the drawn scenario as a file instead of playing it.")
 @run_options
-def play_soak(seed, seconds, runs, late_ms, show, **options) -> None:
+def play_soak(seed, seconds, runs, late_ms, rate, show, **options) -> None:
     """Play scenarios in which endpoint lists are out of date."""
-    show_or_play([soak.soak_scenario(seed + n, seconds, late_ms) for n in range(runs)], show, **options)
+    scenarios = [soak.soak_scenario(seed + n, seconds, late_ms, rate) for n in range(runs)]
+    show_or_play(scenarios, show, **options)
 
 
 @rig.command("swarm")
--- a/ivystack/rig/soak.py
+++ b/ivystack/rig/soak.py
@@ -13,13 +13,17 @@
 PROXIES, NODES = 3, 8
 FIRST_DRAIN_S, DRAIN_EVERY_S, DRAIN_FOR_S = 1.0, 2.2, (4.2, 6.0)
 SETTLED_S = 4.0  # before the end of the load no fault begins that takes long
+REQUESTS_PER_SECOND = 120.0
 KILL_AFTER_S = 1.6  # after SIGTERM: the longest deadline, 0.9 s, and 0.7 s
 
 
-def soak_scenario(seed: int, seconds: float = 20.0, late_ms: float = 0.0) -> Scenario:
+def soak_scenario(
+    seed: int, seconds: float = 20.0, late_ms: float = 0.0, rate: float = REQUESTS_PER_SECOND
+) -> Scenario:
     """Return a scenario with drains all the time and faults that leave proxies with an old endpoint list.
 
     :param late_ms: discovery answers calls up to so many milliseconds late, all the time
+    :param rate: requests per second; fewer on a machine that is too busy for the rig's own clients
     """
     rng = Random(seed)
     faults = [*_drains(rng, seconds), *_proxy_faults(rng, seconds), *_discovery_faults(rng, seconds, late_ms)]
@@ -33,7 +37,7 @@
     return Scenario(
         version=1, name=f"soak-{seed}", about="endpoint lists out of date", seconds=seconds, seed=seed,
         fleet=Fleet(proxies=PROXIES, nodes=NODES, sockets=256 if has_crowd else 1024, cores=8),
-        load=Load(rate=120.0, shape=rng.choice(["poisson", "surge"]), reuse=rng.choice(["newest", "oldest"])),
+        load=Load(rate=rate, shape=rng.choice(["poisson", "surge"]), reuse=rng.choice(["newest", "oldest"])),
         fault=faults, hold=Hold(stale_sends=True),
     )  # fmt: skip
 
