Polled lists: a lost watch counts like a silence, so that calls stay spaced

Where lists are polled, what discovery has counts 6 s after it could be had, not at once: the gate does not close within the grace after a lost watch, and does not call a service of fixed capacity ahead of its turn.

--- a/ivystack/configuration/instance.py
+++ b/ivystack/configuration/instance.py
@@ -82,6 +82,7 @@
         self.connect_timeout = microseconds(limits.connect_timeout)  # microseconds; 0 if not set
         # Microseconds for which a draining server may be sent new attempts; 0 if not set.
         self.drain_grace = microseconds((settings.rules or RuleSettings()).stop_sending_within)
+        self.lists_are_pushed = settings.discovery != "ask"
         self.poll_pauses = poll_pauses(settings)
         self.poll_backoff = PollBackoff(Random(seed + 1), *self.poll_pauses)
         self.balancer = self._build_balancer(rng)
--- a/ivystack/configuration/reload.py
+++ b/ivystack/configuration/reload.py
@@ -19,6 +19,7 @@
     "idle_timeout",
     "connect_timeout",
     "drain_grace",
+    "lists_are_pushed",
 )
 PARAMETER_FIELDS = ("max_attempts", "hedging_enabled", "retry_after", "clock_granularity")
 SLOW_START_FIELDS = ("initial_fraction", "duration", "spill_over")
--- a/ivystack/net/list_freshness.py
+++ b/ivystack/net/list_freshness.py
@@ -22,15 +22,18 @@
     """Tells whether the endpoint list is as new as it has to be.
 
     :param drain_grace: for which a draining server may be sent new attempts; 0 if the settings do not say
+    :param is_pushed: whether lists are pushed by an agent, so that what it has counts at once, watch or not;
+        where lists are polled it counts as late as after a silence
     """
 
-    def __init__(self, drain_grace: int) -> None:
+    def __init__(self, drain_grace: int, is_pushed: bool) -> None:
         self.fresh_until: float = inf
-        self.set_drain_grace(drain_grace)
+        self.configure(drain_grace, is_pushed)
 
-    def set_drain_grace(self, drain_grace: int) -> None:
-        """Change the grace; what has happened keeps its effect."""
+    def configure(self, drain_grace: int, is_pushed: bool) -> None:
+        """Change the settings; what has happened keeps its effect."""
         self._usable_grace = max(0, drain_grace - STALL_ALLOWANCE_US)
+        self._notified_after_loss = 0 if is_pushed else NOTIFIED_AFTER_SILENCE_US
 
     def is_fresh(self, now: int) -> bool:
         """Return whether attempts may be sent by the list now."""
@@ -48,7 +51,7 @@
 
     def watch_lost(self, at: int) -> None:
         """The watch was last known to be open at `at`; changes since then were not heard."""
-        self.fresh_until = min(self.fresh_until, at + self._usable_grace)
+        self.fresh_until = min(self.fresh_until, at + self._notified_after_loss + self._usable_grace)
 
     def address_changed(self, at: int) -> None:
         """Another address of discovery was configured at `at`."""
--- a/ivystack/net/proxy.py
+++ b/ivystack/net/proxy.py
@@ -61,7 +61,7 @@
         self.server_pools = self._create_server_pools()
         self.client_server = self._create_client_server()
         self.endpoints = EndpointList(self.settings, self.server_pools, handler, self.now)
-        self.list_freshness = ListFreshness(self.settings.drain_grace)
+        self.list_freshness = ListFreshness(self.settings.drain_grace, self.settings.lists_are_pushed)
         self.endpoint_watch = self._create_endpoint_watch()
         self.endpoint_gate = self._create_endpoint_gate()
         self.gossip = GossipSocket(configuration.peers, handler.receive_gossip)
@@ -314,7 +314,7 @@
             last_deadline = max(self.request_handler.latest_deadline(), self.now())
             self.deadlines.call_at(last_deadline + 2 * ANSWER_GRACE_US, self.settings.discard, replaced)
         self.gossip.set_peers(configuration.peers)
-        self.list_freshness.set_drain_grace(self.settings.drain_grace)
+        self.list_freshness.configure(self.settings.drain_grace, self.settings.lists_are_pushed)
         self.endpoint_watch.change_address(configuration.discovery)
         self.request_handler.due.run()
 
--- a/tests/test_endpoint_watch.py
+++ b/tests/test_endpoint_watch.py
@@ -95,7 +95,7 @@
     watch = EndpointWatch(
         reactor, deadlines, deadlines.now, settings.poll_backoff, ("127.0.0.1", 1),
         lambda entries, is_complete: received.append(deadlines.now() - start) or UpdateResult(True, False),
-        ListFreshness(settings.drain_grace),
+        ListFreshness(settings.drain_grace, settings.lists_are_pushed),
     )  # fmt: skip
     watch.agent = agent
     watch.request_watch()
@@ -161,7 +161,7 @@
         settings.poll_backoff,
         ("127.0.0.1", 1),
         None,
-        ListFreshness(settings.drain_grace),
+        ListFreshness(settings.drain_grace, settings.lists_are_pushed),
     )
     watch.request_watch = lambda: calls.append(deadlines.now())
     silent_since = deadlines.now()
--- a/tests/test_list_freshness.py
+++ b/tests/test_list_freshness.py
@@ -13,7 +13,7 @@
 @pytest.fixture
 def freshness():
     """Return the freshness of a list of which a line has just arrived."""
-    freshness = ListFreshness(GRACE)
+    freshness = ListFreshness(GRACE, is_pushed=True)
     freshness.line_arrived(NOW)
     return freshness
 
@@ -31,6 +31,13 @@
     assert ends_at(freshness, NOW + S + USABLE_GRACE)
 
 
+def test_a_lost_watch_of_a_polled_list_counts_like_a_silence():
+    freshness = ListFreshness(GRACE, is_pushed=False)
+    freshness.line_arrived(NOW)
+    freshness.watch_lost(NOW - S)
+    assert ends_at(freshness, NOW + 5 * S + USABLE_GRACE)
+
+
 def test_a_signal_counts_for_four_seconds_and_makes_no_list_newer(freshness):
     freshness.address_changed(NOW + S)
     assert ends_at(freshness, NOW + 5 * S + USABLE_GRACE)
@@ -55,7 +62,7 @@
 
 
 def test_a_new_process_and_settings_without_a_grace_leave_no_time():
-    freshness = ListFreshness(0)
+    freshness = ListFreshness(0, is_pushed=True)
     assert freshness.is_fresh(NOW)  # before it serves
     freshness.started(NOW)
     assert ends_at(freshness, NOW)
