A call that was open before requests wait is waited for only until its own time

Where discovery said nothing after a reset, requests waited 2 s from the moment in which the grace was over, though the call had been made up to 0.84 s before: the judgement now goes by the call, and the watch is read at that time. The test fails on the text before. The line for waiting requests comes once a wait, not once a slice of 0.5 ms. The plays of three test files share one fixture.

--- a/ivystack/net/endpoint_gate.py
+++ b/ivystack/net/endpoint_gate.py
@@ -79,6 +79,9 @@
         logger.info("attempts wait for discovery generation={} code={}", self.watch.generation, code)
         self._schedule_judgement(self.closed_at + ANSWER_TIMEOUT_US)  # first: the call may raise an exception
         self.watch.ensure_call(code)
+        answer_due_at = self.watch.answer_due_at()
+        if answer_due_at is not None:  # sooner, if the call was open before
+            self._schedule_judgement(answer_due_at)
 
     # Events of the watch.
 
--- a/ivystack/net/endpoint_watch.py
+++ b/ivystack/net/endpoint_watch.py
@@ -311,11 +311,13 @@
         self.read_now()
         if not self.is_open:
             return
-        if self.awaits_answer:
-            answer_due_at = self.answer_due_at()
-            if answer_due_at is not None and answer_due_at <= self.now():
+        delay, answer_due_at = self.READ_INTERVAL, self.answer_due_at()
+        if self.awaits_answer and answer_due_at is not None:
+            if answer_due_at > self.now():
+                delay = min(delay, answer_due_at - self.now())
+            else:
                 self.go_without_answer()
-        self._schedule_read(self.READ_INTERVAL)
+        self._schedule_read(delay)
 
     def _has_stood_still(self) -> bool:
         """Return whether the process has not read for so long that it must have stood still."""
--- a/ivystack/net/held_requests.py
+++ b/ivystack/net/held_requests.py
@@ -62,10 +62,15 @@
 
     def release(self) -> None:
         """Decide on the requests that are held now; on the rest of them soon, if there are many."""
-        waiting = [*self._requests]
-        if waiting or self._given_up:
-            logger.info("waiting requests are decided count={} given_up={}", len(waiting), self._given_up)
+        if self._requests or self._given_up:
+            logger.info(
+                "waiting requests are decided count={} given_up={}", len(self._requests), self._given_up
+            )
             self._given_up = 0
+        self._decide_slice()
+
+    def _decide_slice(self) -> None:
+        waiting = [*self._requests]
         ends_at = self.now() + self.SLICE_US
         for request in waiting:
             self.discard(request)
@@ -74,7 +79,7 @@
             if request in self._requests:  # held again: its next release is that of all
                 break
             if self.now() >= ends_at and self._requests:
-                self.deadlines.call_at(self.now(), self.release)
+                self.deadlines.call_at(self.now(), self._decide_slice)
                 break
         if waiting:
             self.after_slice()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 import known_red
 import pytest
 from ivystack.standin.apart import Discovery
+from stale_list import StaleListPlay
 from test_main import call, free_port
 
 KNOWN = known_red.parse(known_red.KNOWN_RED_PATH.read_text()) if known_red.KNOWN_RED_PATH.exists() else {}
@@ -91,3 +92,11 @@
             process.kill()
             process.communicate()
         launcher.listener.close()
+
+
+@pytest.fixture
+def play(tmp_path):
+    """Yield a play with one proxy, which is not started yet; end its processes."""
+    play = StaleListPlay(tmp_path)
+    yield play
+    play.close()
--- a/tests/stale_list.py
+++ b/tests/stale_list.py
@@ -124,6 +124,13 @@
         self.clients = []
         self.connect()
 
+    def serve_a_round(self):
+        """Start the proxy and serve each command once, so that it has connections to all servers."""
+        self.start()
+        self.connect()
+        self.send_commands()
+        assert self.read_answers() == COMMANDS
+
     def send_commands(self):
         """Write all commands to the open connections."""
         self.rounds += 1
--- a/tests/test_endpoint_gate.py
+++ b/tests/test_endpoint_gate.py
@@ -311,6 +311,24 @@
     second.close()
 
 
+def test_a_call_that_was_open_before_requests_wait_is_neither_repeated_nor_waited_for_anew(start_proxy):
+    harness, watch = start_streaming(start_proxy, CacheServer("n0"))
+    gate, endpoint_watch = harness.proxy.endpoint_gate, harness.proxy.endpoint_watch
+    watch.close()
+    harness.wait_until(lambda: not endpoint_watch.is_open)
+    harness.advance_clock(300_000)  # the longest pause between calls
+    silent_watch, _ = harness.discovery.accept_watch()
+    harness.wait_until(lambda: endpoint_watch.answer_due_at() is not None)
+    called_at = endpoint_watch.requested_at
+    for _ in range(30):  # the grace of a drain is over
+        harness.advance_clock(20_000)
+    assert not harness.run_in_reactor(gate.allows_attempts)
+    harness.advance_clock(called_at + ANSWER_TIMEOUT_US - harness.now)
+    harness.wait_until(lambda: gate.is_open)
+    assert endpoint_watch.requested_at == called_at
+    silent_watch.close()
+
+
 def test_requests_of_a_running_process_do_not_wait_while_discovery_is_silent(start_proxy):
     server = CacheServer("n0")
     harness, silent_watch = start_streaming(start_proxy, server)
--- a/tests/test_late_agent.py
+++ b/tests/test_late_agent.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from stale_list import COMMANDS, StaleListPlay
+from stale_list import COMMANDS
 
 TOLD_AFTER_SILENCE_SECONDS = 6.0  # what a silent watch misses counts as told by then
 TOLD_AFTER_MOVE_SECONDS = 4.0  # what a new discovery address has to tell counts as told by then
@@ -13,22 +13,6 @@
 LATEST_ANSWER = max(ANSWER_DELAYS)
 
 
-@pytest.fixture
-def play(tmp_path):
-    """Yield a play whose proxy is not started yet; end its processes."""
-    play = StaleListPlay(tmp_path)
-    yield play
-    play.close()
-
-
-def serve_a_round(play):
-    """Start the proxy and serve each command once, so that it has connections to all servers."""
-    play.start()
-    play.connect()
-    play.send_commands()
-    assert play.read_answers() == COMMANDS
-
-
 def assert_served_by_the_new_list(play, told_at):
     assert play.read_answers() == COMMANDS
     assert play.late_commands(told_at) == 0
@@ -49,7 +33,7 @@
 
 @pytest.mark.parametrize("seconds", ANSWER_DELAYS)
 def test_a_watch_that_was_reset_in_a_stall_is_heard_again_before_anything_is_sent(play, seconds):
-    serve_a_round(play)
+    play.serve_a_round()
     play.answer_late(seconds)
     told = []
     play.hold(1.6, play.reset_watches, lambda: told.append(play.drain()), play.send_commands)
@@ -57,7 +41,7 @@
 
 
 def test_a_running_process_sends_nothing_past_the_grace_of_a_drain_that_a_reset_hid(play):
-    serve_a_round(play)
+    play.serve_a_round()
     play.answer_late(LATEST_ANSWER)
     play.reset_watches()
     told_at = play.drain()
@@ -67,7 +51,7 @@
 
 
 def test_a_silent_watch_is_heard_again_before_anything_is_sent_after_a_stall(play):
-    serve_a_round(play)
+    play.serve_a_round()
     play.answer_late(LATEST_ANSWER)
     play.mute_watches()
     silent_at = time.monotonic()
@@ -76,7 +60,7 @@
 
 
 def test_a_running_process_hears_a_silent_watch_again_within_the_grace(play):
-    serve_a_round(play)
+    play.serve_a_round()
     play.answer_late(LATEST_ANSWER)
     play.mute_watches()
     silent_at = time.monotonic()
@@ -87,7 +71,7 @@
 
 
 def test_a_moved_discovery_is_heard_before_anything_is_sent_after_a_stall(play):
-    serve_a_round(play)
+    play.serve_a_round()
     play.answer_late(LATEST_ANSWER)
     play.mute_watches()
     told = []
@@ -97,7 +81,7 @@
 
 def test_signals_in_series_do_not_make_an_old_list_new(play):
     # The watch is reset, and each SIGHUP ends the call that would tell of the drain.
-    serve_a_round(play)
+    play.serve_a_round()
     play.answer_late(0.6)
     play.reset_watches()
     told_at = play.drain()
--- a/tests/test_shutdown_commands.py
+++ b/tests/test_shutdown_commands.py
@@ -6,7 +6,6 @@
 
 import pytest
 from helpers import encode_command
-from stale_list import StaleListPlay
 
 CONNECTIONS, COMMANDS_EACH = 40, 10
 # Seconds after SIGTERM: the proxy drops commands that have arrived in part from 0.7 s on.
@@ -15,14 +14,6 @@
 ENDED_WITHIN = 3.7  # seconds from SIGTERM: SIGKILL may come then (3 s at most for an answer, and 0.7 s)
 
 
-@pytest.fixture
-def play(tmp_path):
-    """Yield a play whose proxy is not started yet; end its processes."""
-    play = StaleListPlay(tmp_path)
-    yield play
-    play.close()
-
-
 def read_answers(client):
     """Return how many answers arrive before the connection ends, up to those of all its commands."""
     client.settimeout(10)
--- a/tests/test_stale_list.py
+++ b/tests/test_stale_list.py
@@ -4,28 +4,11 @@
 import socket
 import time
 
-import pytest
-from stale_list import COLD_SHARE, COMMANDS, StaleListPlay
+from stale_list import COLD_SHARE, COMMANDS
 
 TOLD_AFTER_SILENCE_SECONDS = 6.0  # what a silent watch misses counts as told by then
 
 
-@pytest.fixture
-def play(tmp_path):
-    """Yield a play whose proxy is not started yet; end its processes."""
-    play = StaleListPlay(tmp_path)
-    yield play
-    play.close()
-
-
-def serve_a_round(play):
-    """Start the proxy and serve each command once, so that it has connections to all servers."""
-    play.start()
-    play.connect()
-    play.send_commands()
-    assert play.read_answers() == COMMANDS
-
-
 def test_a_process_that_comes_up_late_does_not_serve_by_its_known_list(play):
     # Guards against requests of the first turns that are sent before the first answer of discovery was read.
     play.start()
@@ -41,7 +24,7 @@
 
 def test_commands_from_before_a_change_are_not_sent_by_the_old_list_after_a_stall(play):
     # Guards against commands that are handled while a line of the watch lies unread behind them.
-    serve_a_round(play)
+    play.serve_a_round()
     told = []
     play.hold(1.6, play.send_commands, lambda: told.append(play.drain()))
     assert play.read_answers() == COMMANDS
@@ -50,7 +33,7 @@
 
 def test_a_stall_beside_a_silent_watch_is_followed_by_a_call_before_anything_is_sent(play):
     # Guards against a watch that counts as alive because its last line was read late.
-    serve_a_round(play)
+    play.serve_a_round()
     play.mute_watches()
     silent_at = time.monotonic()
     play.hold(8.0, play.drain, play.send_commands)
